--- a/simhost/wire.h
+++ b/simhost/wire.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cinderfront/controller.h>
+
 #include <array>
 #include <cstdint>
 #include <stdexcept>
@@ -10,17 +11,13 @@
 #include <string_view>
 #include <vector>
 
-namespace cinderfront::wire {
+#include "agent/settings.h"
 
-struct WireError : std::runtime_error {
-    using std::runtime_error::runtime_error;
-};
+namespace cinderfront::wire {
 
-// Settings as told, with the names that the wire uses in place of indexes.
-struct Profile {
-    Settings settings;
-    std::vector<std::string> class_names, tenant_names, zone_names, kind_names;
-};
+using WireError = jasperspread::agent::SettingsError;
+using jasperspread::agent::index_of;
+using jasperspread::agent::Profile;
 
 // Reads the parts of one line in order. Every reader names what it expected when it throws WireError.
 class Parts {
@@ -42,7 +39,6 @@
 
 std::string instance_name(Parts& parts);  // checks the form front_N
 Profile parse_profile(std::string_view pairs);
-std::size_t index_of(const std::vector<std::string>& names, std::string_view name, const char* what);
 LoadReport parse_report(std::string_view text);
 std::string decode_base64(std::string_view text);
 std::string encode_base64(std::string_view bytes);
--- /dev/null
+++ b/src/agent/directory.h
@@ -0,0 +1,60 @@
+// The servers that the control feed has named: their ids, as text and as the module's numbers, their addresses
+// and states.
+#pragma once
+
+#include <cinderfront/controller.h>
+
+#include <cstdint>
+#include <map>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "agent/settings.h"
+#include "net/socket.h"
+
+namespace jasperspread::agent {
+
+using ServerNumber = std::uint32_t;
+
+struct MemberChange {
+    std::string id;
+    net::Address address;
+    cinderfront::ServerEntry entry;  // its number is given by the directory
+};
+
+struct ListChange {
+    std::uint64_t number = 0;
+    bool complete = false;
+    std::vector<MemberChange> members;
+};
+
+// One event of the feed. Throws SettingsError, which names the field.
+ListChange read_change(const nlohmann::json& event, const Profile& profile);
+
+struct KnownServer {
+    std::string id;
+    net::Address address;
+    cinderfront::ServerEntry entry;
+    bool may_take_new() const { return entry.state == cinderfront::ServerState::Up; }
+};
+
+class ServerDirectory {
+public:
+    // Takes the change in and gives the event that tells the module of it.
+    cinderfront::ServerList apply(const ListChange& change);
+    // All that is there, as an instance that starts is told.
+    cinderfront::ServerList restored() const;
+    // Also finds servers that have gone: sessions may still stand there.
+    const KnownServer* find(ServerNumber number) const;
+    std::optional<ServerNumber> number_of(const std::string& id) const;
+    const std::map<ServerNumber, KnownServer>& servers() const { return servers_; }
+
+private:
+    ServerNumber number_for(const std::string& id);
+    std::map<std::string, ServerNumber> numbers_;
+    std::map<ServerNumber, KnownServer> servers_;
+};
+
+}  // namespace jasperspread::agent
--- /dev/null
+++ b/src/agent/feed_client.cpp
@@ -0,0 +1,80 @@
+#include "feed_client.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "agent/log.h"
+#include "codec/error.h"
+
+namespace jasperspread::agent {
+namespace {
+
+// A comment comes each second: so long without a word and the feed is taken for dead, s.
+constexpr double silent_s = 2.5;
+constexpr double connect_timeout_s = 0.5, first_pause_s = 0.05, longest_pause_s = 1.0;
+
+}  // namespace
+
+FeedClient::FeedClient(net::Loop& loop, net::BufferPool& pool, const net::Address& feed, const Profile& profile,
+                       std::uint64_t last, Told told)
+    : loop_(loop),
+      pool_(pool),
+      feed_(feed),
+      profile_(profile),
+      last_(last),
+      told_(std::move(told)),
+      silence_(loop),
+      again_(loop),
+      pause_(first_pause_s) {
+    connect();
+}
+
+void FeedClient::connect() {
+    parser_.emplace();
+    connection_ = std::make_shared<net::Connection>(loop_, pool_, *this, feed_, connect_timeout_s);
+}
+
+void FeedClient::wait_for_words() {
+    silence_.set(net::unix_now() + silent_s, [this] { lost("it is silent"); });
+}
+
+void FeedClient::opened(net::Connection& connection) {
+    connection.send(codec::feed_request(net::to_text(feed_), std::to_string(last_)));
+    wait_for_words();
+}
+
+std::size_t FeedClient::received(net::Connection&, std::string_view bytes) {
+    wait_for_words();
+    try {
+        for (const auto& event : parser_->take(bytes)) take(event);
+        pause_ = first_pause_s;
+        if (parser_->complete()) lost("the response has ended");
+    } catch (const std::runtime_error& error) {  // unreadable: asked again from the last event that was read
+        lost(error.what());
+    }
+    return bytes.size();
+}
+
+void FeedClient::take(const codec::FeedEvent& event) {
+    const auto json = nlohmann::json::parse(event.data, nullptr, false);
+    if (json.is_discarded()) codec::malformed("an event is not JSON");
+    const ListChange change = read_change(json, profile_);
+    if (change.number <= last_ && !change.complete) return;  // told before
+    last_ = std::max(last_, change.number);
+    told_(change);
+}
+
+void FeedClient::ended(net::Connection&, net::Connection::End) {
+    lost("the connection has ended");
+}
+
+void FeedClient::lost(const std::string& why) {
+    log_line("feed: " + why + ", after event " + std::to_string(last_));
+    silence_.cancel();
+    connection_->close();
+    loop_.retire(std::move(connection_));
+    again_.set(net::unix_now() + pause_, [this] { connect(); });
+    pause_ = std::min(pause_ * 2, longest_pause_s);
+}
+
+}  // namespace jasperspread::agent
--- /dev/null
+++ b/src/agent/feed_client.h
@@ -0,0 +1,46 @@
+// Follows the control feed: resumes after the last event told, and connects again when the feed breaks off or
+// falls silent.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "agent/directory.h"
+#include "codec/feed_codec.h"
+#include "net/buffer_pool.h"
+#include "net/connection.h"
+#include "net/loop.h"
+
+namespace jasperspread::agent {
+
+class FeedClient : public net::Connection::Owner {
+public:
+    using Told = std::function<void(const ListChange&)>;
+    FeedClient(net::Loop& loop, net::BufferPool& pool, const net::Address& feed, const Profile& profile,
+               std::uint64_t last, Told told);
+
+    void opened(net::Connection&) override;
+    std::size_t received(net::Connection&, std::string_view bytes) override;
+    void ended(net::Connection&, net::Connection::End why) override;
+
+private:
+    void connect();
+    void lost(const std::string& why);
+    void take(const codec::FeedEvent& event);
+    void wait_for_words();
+
+    net::Loop& loop_;
+    net::BufferPool& pool_;
+    const net::Address feed_;
+    const Profile& profile_;
+    std::uint64_t last_;
+    Told told_;
+    std::optional<codec::FeedParser> parser_;
+    std::shared_ptr<net::Connection> connection_;
+    net::Timer silence_, again_;
+    double pause_;
+};
+
+}  // namespace jasperspread::agent
--- /dev/null
+++ b/src/agent/seam.h
@@ -0,0 +1,88 @@
+// The seam between the decisions and the protocols. The session table speaks to viewers and servers through
+// these interfaces alone, so another protocol can be put on either side of the same decisions.
+#pragma once
+
+#include <cinderfront/controller.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "agent/directory.h"
+
+namespace jasperspread::agent {
+
+using SessionId = std::uint64_t;
+
+// A set-up as a viewer asks for it.
+struct SetUp {
+    cinderfront::Request request;         // its times are those of the Unix clock
+    std::string class_name, title;        // as they came: they go on unchanged
+    std::string description;              // opaque
+    std::optional<std::string> playing_at;  // a session of an earlier life, and the server where it plays
+};
+
+enum class SessionEnd { Completed, Broken, ViewerLeft };
+
+// Towards the viewers.
+class ViewerPort {
+public:
+    virtual void answered(SessionId id, const std::string& description) = 0;
+    virtual void refused(SessionId id, double stay_away_s) = 0;
+    virtual void failed(SessionId id) = 0;
+    virtual void over(SessionId id, SessionEnd how) = 0;  // a session that stood
+    virtual void moved(SessionId id) = 0;
+
+protected:
+    ~ViewerPort() = default;
+};
+
+// One attempt to set a session up.
+struct Attempt {
+    SessionId id = 0;
+    ServerNumber server = 0;
+    std::string class_name, title, description;
+    int rung = 0;
+    double give_up_at = 0;
+};
+
+// Towards the servers.
+class ServerPort {
+public:
+    virtual void set_up(const Attempt& attempt) = 0;  // exactly one started() or attempt_ended() follows
+    virtual void give_up(SessionId id) = 0;           // ... unless it is given up before
+    virtual void set_rung(SessionId id, int rung) = 0;
+    virtual void end_session(SessionId id) = 0;
+    virtual void adopt(SessionId id, ServerNumber server) = 0;  // a session that plays there already
+    virtual void probe(ServerNumber server) = 0;
+    virtual void close_idle(ServerNumber server) = 0;
+
+protected:
+    ~ServerPort() = default;
+};
+
+// What the viewers' side reports.
+class ViewerEvents {
+public:
+    virtual void set_up(const SetUp& set_up) = 0;
+    virtual void given_up(SessionId id) = 0;  // released by the viewer, whether it stands or not
+
+protected:
+    ~ViewerEvents() = default;
+};
+
+// What the servers' side reports.
+class ServerEvents {
+public:
+    virtual void started(SessionId id, const std::string& description) = 0;
+    virtual void attempt_ended(SessionId id, cinderfront::Ending how, const cinderfront::LoadReport& load) = 0;
+    virtual void session_ended(SessionId id, cinderfront::Ending how, const cinderfront::LoadReport& load) = 0;
+    virtual void noted(SessionId id, cinderfront::NoteKind kind, double value) = 0;
+    virtual void probed(ServerNumber server, cinderfront::Ending how, double latency,
+                        const cinderfront::LoadReport& load) = 0;
+
+protected:
+    ~ServerEvents() = default;
+};
+
+}  // namespace jasperspread::agent
--- /dev/null
+++ b/src/agent/server_links.cpp
@@ -0,0 +1,495 @@
+#include "server_links.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "agent/log.h"
+#include "codec/error.h"
+
+namespace jasperspread::agent {
+
+using cinderfront::Ending;
+using cinderfront::LoadReport;
+using cinderfront::NoteKind;
+using codec::ServerMessage;
+using codec::ServerVerb;
+using net::Connection;
+
+namespace {
+
+// Causes of releases, as PROTOCOL words them.
+constexpr int cause_ok = 16, cause_cancelled = 31, cause_full = 34, cause_error = 47, cause_moot = 102;
+constexpr std::size_t links_per_server = 6;
+// Parts of the server's idle time: no set-up goes out on a connection that rested longer, and no connection
+// that nothing needs is kept longer. The server's own close must never meet a set-up.
+constexpr double stale_part = 0.7, idle_part = 0.6;
+constexpr double look_every_s = 0.25, retry_s = 0.25, probe_timeout_s = 1.0;
+constexpr double quiet_slack_s = 0.7;  // over the time in which a server with sessions should have spoken
+constexpr int vain_connects = 2;       // that time out in a row before a silent machine counts as gone
+
+Ending ending_of_attempt(const ServerMessage& message) {
+    switch (message.cause.value_or(0)) {
+        case cause_full:
+            return Ending::Shed;
+        case cause_error:
+            return Ending::AppError;
+        case cause_moot:
+            return Ending::Unused;
+        default:
+            return Ending::Dropped;
+    }
+}
+
+Ending ending_of_session(const ServerMessage& message) {
+    switch (message.cause.value_or(0)) {
+        case cause_ok:
+            return Ending::Delivered;
+        case cause_cancelled:
+            return Ending::Revoked;
+        default:
+            return Ending::Dropped;
+    }
+}
+
+ServerMessage word(ServerVerb verb, SessionId id, std::optional<int> cause = std::nullopt) {
+    ServerMessage message;
+    message.verb = verb;
+    message.session = id;
+    message.cause = cause;
+    return message;
+}
+
+LoadReport load_of(const ServerMessage& message) {
+    const std::string* text = message.field("load");
+    return text == nullptr ? LoadReport{} : read_load(*text);
+}
+
+}  // namespace
+
+LoadReport read_load(const std::string& text) {
+    using Field = std::optional<double> LoadReport::*;
+    static constexpr std::pair<std::string_view, Field> fields[] = {
+        {"busy_reqs", &LoadReport::busy},       {"pending", &LoadReport::pending},
+        {"cpu_share", &LoadReport::link_share}, {"x0", &LoadReport::link_asked},
+        {"x1", &LoadReport::rack_asked},        {"svc_ms", &LoadReport::setup_ms},
+        {"served_ps", &LoadReport::served_ps},  {"failed_ps", &LoadReport::failed_ps}};
+    LoadReport report;
+    for (const std::string_view pair : split(text, ';')) {
+        const std::size_t colon = std::min(pair.find(':'), pair.size());
+        for (const auto& [name, field] : fields) {
+            if (name != pair.substr(0, colon)) continue;
+            report.*field = codec::parse_number(pair.substr(std::min(colon + 1, pair.size())));
+        }
+    }
+    return report;
+}
+
+// One connection to a server.
+class ServerLinks::Link : public Connection::Owner {
+public:
+    Link(ServerLinks& all, ServerNumber number, const net::Address& address)
+        : server(number),
+          used(net::unix_now()),
+          all_(all),
+          connection(all.loop_, all.pool_, *this, address, all.limits_.connect_timeout) {}
+
+    void opened(Connection&) override {
+        Server& at = all_.server(server);
+        at.heard = used = net::unix_now();
+        at.vain = 0;
+        for (const std::string& text : std::exchange(at.words, {})) connection.send(text);
+        all_.pump(*this);
+    }
+    std::size_t received(Connection&, std::string_view bytes) override {
+        std::size_t taken = 0;
+        Server& at = all_.server(server);
+        at.heard = used = net::unix_now();
+        at.vain = 0;
+        try {
+            while (connection.is_open()) {
+                const auto decoded = codec::decode_server(bytes.substr(taken));
+                if (!decoded) break;
+                taken += decoded->size;
+                all_.take(*this, decoded->message);
+            }
+        } catch (const codec::CodecError& error) {
+            // A peer that can't be read ends its own connection only.
+            log_line("server " + std::to_string(server) + ": " + error.what());
+            connection.close();
+            all_.link_ended(*this, Connection::End::Reset);
+        }
+        return taken;
+    }
+    void writable(Connection&) override { all_.pump(*this); }
+    void ended(Connection&, Connection::End why) override { all_.link_ended(*this, why); }
+
+    const ServerNumber server;
+    std::deque<SessionId> queue;    // set-ups not yet written
+    std::set<SessionId> sessions;   // set-ups and sessions that were set up here
+    double used;                    // last traffic
+    bool leaving = false;           // being closed from here
+
+private:
+    ServerLinks& all_;
+
+public:
+    Connection connection;  // last: it may not call back before the rest is there
+};
+
+ServerLinks::ServerLinks(net::Loop& loop, net::BufferPool& pool, ServerEvents& events,
+                         const ServerDirectory& directory, const LinkLimits& limits)
+    : loop_(loop), pool_(pool), events_(events), directory_(directory), limits_(limits) {}
+
+ServerLinks::~ServerLinks() {
+    for (auto& [tag, probe] : probes_) loop_.deadlines().cancel(probe.end);
+}
+
+ServerLinks::Server& ServerLinks::server(ServerNumber number) {
+    Server& at = servers_[number];
+    if (!at.watch) at.watch = std::make_unique<net::Timer>(loop_);
+    return at;
+}
+
+// ---- Connections ----
+
+ServerLinks::Link* ServerLinks::open_link(ServerNumber number) {
+    const KnownServer* known = directory_.find(number);
+    Server& at = server(number);
+    if (known == nullptr || at.links.size() >= links_per_server || links_ >= limits_.connections) return nullptr;
+    at.links.push_back(std::make_shared<Link>(*this, number, known->address));
+    ++links_;
+    watch(number);
+    return at.links.back().get();
+}
+
+ServerLinks::Link* ServerLinks::link_for_set_up(ServerNumber number) {
+    const double stale = net::unix_now() - stale_part * limits_.conn_idle;
+    Link* best = nullptr;
+    for (const auto& link : server(number).links) {
+        if (link->leaving || link->sessions.size() >= limits_.streams_per_conn) continue;
+        if (limits_.conn_idle > 0 && link->used < stale) continue;
+        const bool better = best == nullptr || (link->connection.is_open() && !best->connection.is_open());
+        if (better) best = link.get();
+    }
+    return best != nullptr ? best : open_link(number);
+}
+
+ServerLinks::Link* ServerLinks::talking_link(Server& at, const Link* preferred) {
+    Link* any = nullptr;
+    for (const auto& link : at.links) {
+        if (!link->connection.is_open() || link->leaving) continue;
+        if (link.get() == preferred) return link.get();
+        any = link.get();
+    }
+    return any;
+}
+
+// Sends a message on a session by its own connection, another one there, or the next one.
+void ServerLinks::speak(ServerNumber number, const Link* preferred, const ServerMessage& message) {
+    Server& at = server(number);
+    const std::string text = encode(message);
+    if (Link* link = talking_link(at, preferred)) {
+        link->used = net::unix_now();
+        return link->connection.send(text);
+    }
+    constexpr std::size_t most_words = 256;
+    if (at.words.size() < most_words) at.words.push_back(text);
+    keep_link(number);
+}
+
+void ServerLinks::keep_link(ServerNumber number) {
+    const bool has = std::any_of(server(number).links.begin(), server(number).links.end(),
+                                 [](const auto& link) { return !link->leaving; });
+    if (!has) open_link(number);
+    watch(number);
+}
+
+void ServerLinks::watch(ServerNumber number) {
+    Server& at = server(number);
+    if (!at.watch->is_set()) {
+        at.watch->set(net::unix_now() + look_every_s, [this, number] { look_after(number); });
+    }
+}
+
+// Closes what nothing needs, and sees to a connection while sessions stand or words wait. A machine that has
+// vanished says nothing on its open connections: where notes stay out, a new connection tells whether it is
+// there, as a frozen process still gets its connections accepted.
+void ServerLinks::look_after(ServerNumber number) {
+    Server& at = server(number);
+    const double now = net::unix_now();
+    std::size_t staying = 0;
+    for (const auto& link : at.links) staying += link->leaving ? 0 : 1;
+    for (const auto& link : at.links) {
+        const bool needed = !link->sessions.empty() || (staying == 1 && !at.standing.empty());
+        if (link->leaving || needed || !link->connection.is_open()) continue;
+        if (limits_.conn_idle <= 0 || now < link->used + idle_part * limits_.conn_idle) continue;
+        link->leaving = true;
+        --staying;
+        link->connection.finish();
+    }
+    if (!at.standing.empty() || !at.words.empty()) {
+        keep_link(number);
+        const bool connecting = std::any_of(at.links.begin(), at.links.end(), [](const auto& link) {
+            return !link->leaving && !link->connection.is_open();
+        });
+        if (quiet(at) && !connecting) open_link(number);
+    }
+    if (!at.links.empty() || !at.standing.empty() || !at.words.empty()) watch(number);
+}
+
+// Nothing came for longer than a server with sessions is silent.
+bool ServerLinks::quiet(const Server& at) const {
+    const double longest = limits_.note_every + limits_.note_late + quiet_slack_s;
+    return limits_.note_every > 0 && net::unix_now() > at.heard + longest;
+}
+
+void ServerLinks::link_ended(Link& link, Connection::End why) {
+    const ServerNumber number = link.server;
+    Server& at = server(number);
+    const auto self = std::find_if(at.links.begin(), at.links.end(),
+                                   [&](const auto& other) { return other.get() == &link; });
+    if (self == at.links.end()) return;
+    loop_.retire(*self);
+    at.links.erase(self);
+    --links_;
+    const bool never_up = why == Connection::End::Refused || why == Connection::End::TimedOut ||
+                          why == Connection::End::Unavailable;
+    const std::deque<SessionId> queued = std::exchange(link.queue, {});
+    const std::set<SessionId> sessions = std::exchange(link.sessions, {});
+    for (const SessionId id : sessions) {
+        const auto it = entries_.find(id);
+        if (it != entries_.end()) it->second.link = nullptr;
+    }
+    // A server at its cap of connections refuses too, but keeps those that it has.
+    if (why == Connection::End::Refused && talking_link(at, nullptr) == nullptr) all_over(number);
+    if (why == Connection::End::TimedOut && ++at.vain >= vain_connects && quiet(at)) all_over(number);
+    for (const SessionId id : sessions) {
+        const auto it = entries_.find(id);
+        if (it == entries_.end()) continue;
+        if (it->second.state == State::Written) attempt_over(id, Ending::Dropped, {});
+        if (it->second.state != State::Queued) continue;
+        if (never_up) {
+            attempt_over(id, Ending::DialFailed, {});
+        } else {
+            // Not a byte of it has gone out: it may take another connection.
+            const Attempt attempt = it->second.attempt;
+            entries_.erase(it);
+            set_up(attempt);
+        }
+    }
+    watch(number);
+}
+
+// The process at a server is gone, and with it what stood there.
+void ServerLinks::all_over(ServerNumber number) {
+    Server& at = server(number);
+    at.words.clear();
+    at.vain = 0;
+    for (const SessionId id : std::exchange(at.standing, {})) {
+        erase(id);
+        events_.session_ended(id, Ending::Dropped, {});
+    }
+}
+
+void ServerLinks::listed() {
+    std::vector<SessionId> unsent, cut;
+    for (const auto& [id, entry] : entries_) {
+        const KnownServer* known = directory_.find(entry.attempt.server);
+        if (entry.state == State::Queued && !known->may_take_new()) unsent.push_back(id);
+        // A process that started after the session did can't hold it.
+        const bool later = known->entry.last_start && *known->entry.last_start > entry.since;
+        if (entry.state == State::Standing && later) cut.push_back(id);
+    }
+    for (const SessionId id : unsent) attempt_over(id, Ending::Unused, {});
+    for (const SessionId id : cut) {
+        erase(id);
+        events_.session_ended(id, Ending::Dropped, {});
+    }
+}
+
+// ---- Set-ups ----
+
+void ServerLinks::set_up(const Attempt& attempt) {
+    Entry& entry = entries_[attempt.id];
+    entry = Entry{attempt, State::Queued, link_for_set_up(attempt.server), net::unix_now()};
+    if (entry.link == nullptr) return attempt_over(attempt.id, Ending::Unused, {});
+    Link& link = *entry.link;
+    link.sessions.insert(attempt.id);
+    link.queue.push_back(attempt.id);
+    if (link.connection.is_open()) pump(link);
+}
+
+// Writes the set-ups that wait, as long as the first byte of each goes out now.
+void ServerLinks::pump(Link& link) {
+    while (!link.queue.empty() && link.connection.is_open()) {
+        const SessionId id = link.queue.front();
+        const auto it = entries_.find(id);
+        if (it == entries_.end() || it->second.state != State::Queued || it->second.link != &link) {
+            link.queue.pop_front();
+            continue;
+        }
+        const Attempt& attempt = it->second.attempt;
+        const KnownServer* known = directory_.find(attempt.server);
+        const double left = attempt.give_up_at - net::unix_now();
+        if (left <= 0 || known == nullptr || !known->may_take_new()) {
+            link.queue.pop_front();
+            attempt_over(id, Ending::Unused, {});
+            continue;
+        }
+        ServerMessage message = word(ServerVerb::Start, id);
+        message.fields = {{"class", attempt.class_name},
+                          {"key", attempt.title},
+                          {"left", codec::whole_ms(left)},
+                          {"rung", std::to_string(attempt.rung)}};
+        message.description = attempt.description;
+        try {
+            if (!link.connection.offer(encode(message))) return;
+            it->second.state = State::Written;
+            link.used = net::unix_now();
+            link.queue.pop_front();
+        } catch (const codec::CodecError&) {  // escaped, the description no longer fits a line
+            link.queue.pop_front();
+            attempt_over(id, Ending::Unused, {});
+        }
+    }
+}
+
+void ServerLinks::attempt_over(SessionId id, Ending how, const LoadReport& load) {
+    erase(id);
+    events_.attempt_ended(id, how, load);
+}
+
+void ServerLinks::erase(SessionId id) {
+    const auto it = entries_.find(id);
+    if (it == entries_.end()) return;
+    if (it->second.link != nullptr) it->second.link->sessions.erase(id);
+    server(it->second.attempt.server).standing.erase(id);
+    entries_.erase(it);
+}
+
+void ServerLinks::give_up(SessionId id) {
+    const auto it = entries_.find(id);
+    if (it == entries_.end()) return;
+    const Entry entry = it->second;
+    erase(id);
+    if (entry.state == State::Written) {
+        speak(entry.attempt.server, entry.link, word(ServerVerb::Finish, id, cause_ok));
+    }
+}
+
+void ServerLinks::set_rung(SessionId id, int rung) {
+    const auto it = entries_.find(id);
+    if (it == entries_.end()) return;
+    it->second.attempt.rung = rung;
+    if (it->second.state == State::Queued) return;
+    ServerMessage message = word(ServerVerb::Rate, id);
+    message.fields = {{"rung", std::to_string(rung)}};
+    speak(it->second.attempt.server, it->second.link, message);
+}
+
+void ServerLinks::end_session(SessionId id) {
+    const auto it = entries_.find(id);
+    if (it == entries_.end()) return;
+    const Entry entry = it->second;
+    erase(id);
+    speak(entry.attempt.server, entry.link, word(ServerVerb::Finish, id, cause_cancelled));
+}
+
+void ServerLinks::adopt(SessionId id, ServerNumber number) {
+    Entry& entry = entries_[id];
+    entry.attempt.id = id;
+    entry.attempt.server = number;
+    entry.state = State::Standing;
+    entry.since = net::unix_now();
+    server(number).standing.insert(id);
+    server(number).heard = std::max(server(number).heard, entry.since);
+    keep_link(number);
+}
+
+// ---- What servers say ----
+
+void ServerLinks::take(Link& link, const ServerMessage& message) {
+    const SessionId id = message.session;
+    const auto it = entries_.find(id);
+    Entry* entry = it != entries_.end() && it->second.attempt.server == link.server ? &it->second : nullptr;
+    switch (message.verb) {
+        case ServerVerb::Started:
+            if (entry == nullptr) {
+                // It crossed our giving up: what now stands there is released, not passed on.
+                link.connection.send(encode(word(ServerVerb::Finish, id, cause_ok)));
+            } else if (entry->state == State::Written) {
+                entry->state = State::Standing;
+                entry->since = net::unix_now();
+                server(link.server).standing.insert(id);
+                events_.started(id, message.description.value_or(""));
+            }
+            break;
+        case ServerVerb::Finish:
+            link.connection.send(encode(word(ServerVerb::Finished, id)));
+            if (entry != nullptr) finished(link, message);
+            break;
+        case ServerVerb::Notice: {
+            static constexpr std::pair<std::string_view, NoteKind> kinds[] = {{"fill", NoteKind::Delivered},
+                                                                              {"grade", NoteKind::Rung},
+                                                                              {"local", NoteKind::Link},
+                                                                              {"upstream", NoteKind::Rack}};
+            const std::string* note = message.field("note");
+            const std::string* value = message.field("value");
+            const auto number = value == nullptr ? std::nullopt : codec::parse_number(*value);
+            if (entry == nullptr || note == nullptr || !number) break;
+            for (const auto& [name, kind] : kinds) {
+                if (name == *note) events_.noted(id, kind, *number);
+            }
+            break;
+        }
+        case ServerVerb::Echo:
+            link.connection.send(encode(word(ServerVerb::Echoed, id, 1)));
+            break;
+        case ServerVerb::Echoed:
+            probe_over(id, message.cause == 1 ? Ending::Delivered : Ending::AppError, load_of(message));
+            break;
+        default:  // progress, a release heard, or a word of a later version
+            break;
+    }
+}
+
+void ServerLinks::finished(Link&, const ServerMessage& message) {
+    const SessionId id = message.session;
+    const State state = entries_.at(id).state;
+    if (state == State::Queued) return;
+    const LoadReport load = load_of(message);
+    if (state == State::Written) return attempt_over(id, ending_of_attempt(message), load);
+    erase(id);
+    events_.session_ended(id, ending_of_session(message), load);
+}
+
+// ---- Probes ----
+
+void ServerLinks::probe(ServerNumber number) {
+    const SessionId tag = next_probe_++;
+    const double now = net::unix_now();
+    probes_[tag] = Probe{number, now, loop_.deadlines().add(now + probe_timeout_s, [this, tag] {
+                             probe_over(tag, Ending::Expired, {});
+                         })};
+    speak(number, nullptr, word(ServerVerb::Echo, tag, 1));
+}
+
+void ServerLinks::probe_over(SessionId tag, Ending how, const LoadReport& load) {
+    const auto it = probes_.find(tag);
+    if (it == probes_.end()) return;
+    const Probe probe = it->second;
+    loop_.deadlines().cancel(probe.end);
+    probes_.erase(it);
+    events_.probed(probe.server, how, net::unix_now() - probe.sent, load);
+}
+
+void ServerLinks::close_idle(ServerNumber number) {
+    Server& at = server(number);
+    for (const auto& link : at.links) {
+        if (!link->sessions.empty() || !at.standing.empty() || !link->connection.is_open()) continue;
+        link->leaving = true;
+        link->connection.finish();
+    }
+}
+
+}  // namespace jasperspread::agent
--- /dev/null
+++ b/src/agent/session_table.cpp
@@ -0,0 +1,287 @@
+#include "session_table.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "agent/log.h"
+#include "codec/message.h"
+
+namespace jasperspread::agent {
+
+using cinderfront::Ending;
+using cinderfront::LoadReport;
+using cinderfront::ServerState;
+
+namespace {
+
+// The module ends a set-up some 20 ms before the viewer's time is up; the net takes what it has missed.
+constexpr double net_margin_s = 0.005;
+
+bool proves_unrun(Ending how) {
+    return how == Ending::Shed || how == Ending::DialFailed || how == Ending::Unused;
+}
+
+}  // namespace
+
+SessionTable::SessionTable(net::Loop& loop, const cinderfront::Settings& settings, std::uint64_t seed,
+                           const ServerDirectory& directory)
+    : loop_(loop), settings_(settings), directory_(directory), module_(settings, seed) {}
+
+void SessionTable::connect(ViewerPort& viewers, ServerPort& servers) {
+    viewers_ = &viewers;
+    servers_ = &servers;
+}
+
+// Events that come up while one is told wait for their turn, so that the module is never entered twice.
+void SessionTable::tell(cinderfront::Event event) {
+    events_.push_back(std::move(event));
+    if (std::exchange(telling_, true)) return;
+    std::vector<cinderfront::Action> actions;
+    while (!events_.empty()) {
+        const cinderfront::Event next = std::move(events_.front());
+        events_.pop_front();
+        actions.clear();
+        module_.handle(net::unix_now(), next, actions);
+        for (const auto& action : actions) {
+            std::visit([this](const auto& what) { act(what); }, action);
+        }
+    }
+    telling_ = false;
+}
+
+SessionTable::Session* SessionTable::find(SessionId id) {
+    const auto it = sessions_.find(id);
+    return it == sessions_.end() ? nullptr : &it->second;
+}
+
+void SessionTable::set_phase(Session& session, Phase phase) {
+    unanswered_ -= session.phase == Phase::Asked ? 1 : 0;
+    standing_ -= session.phase == Phase::Standing ? 1 : 0;
+    session.phase = phase;
+    standing_ += phase == Phase::Standing ? 1 : 0;
+    if (phase != Phase::Asked) drop_deadline(session.net);
+}
+
+void SessionTable::drop_deadline(net::Deadlines::Key& key) {
+    if (key.second != 0) loop_.deadlines().cancel(key);
+    key = {0, 0};
+}
+
+// ---- From the viewers ----
+
+void SessionTable::set_up(const SetUp& set_up) {
+    const SessionId id = set_up.request.id;
+    if (sessions_.contains(id)) return;  // handed over again, or sent again: it is held already
+    if (set_up.playing_at) {
+        const auto server = directory_.number_of(*set_up.playing_at);
+        if (!server) return log_line("session " + codec::to_hex(id) + " plays at an unknown server");
+        Session& session = sessions_[id];
+        session.asked = set_up;
+        session.phase = Phase::Standing;
+        ++standing_;
+        session.out = true;
+        session.attempts = 1;
+        session.server = *server;
+        tell(cinderfront::TakenOver{set_up.request, *server});
+        servers_->adopt(id, *server);
+        return;
+    }
+    Session& session = sessions_[id];
+    session.asked = set_up;
+    ++unanswered_;
+    session.net =
+        loop_.deadlines().add(set_up.request.not_after - net_margin_s, [this, id] { answer_in_time(id); });
+    tell(cinderfront::NewRequest{set_up.request});
+}
+
+void SessionTable::given_up(SessionId id) {
+    Session* session = find(id);
+    if (session == nullptr || session->phase == Phase::Answered) return;
+    if (session->phase == Phase::Standing) {
+        servers_->end_session(id);
+        end_attempt(id, Ending::Revoked, {});
+        return;
+    }
+    set_phase(*session, Phase::Answered);
+    tell(cinderfront::Abandoned{id});
+    session = find(id);
+    if (session != nullptr && session->out) withdraw(id, *session, Ending::Revoked);
+    drop_if_done(id);
+}
+
+// Guards against a set-up that would go unanswered, whatever the module does: a lost request voids the day.
+void SessionTable::answer_in_time(SessionId id) {
+    Session* session = find(id);
+    if (session == nullptr || session->phase != Phase::Asked) return;
+    session->net = {0, 0};
+    log_line("fault: session " + codec::to_hex(id) + " had no answer at its deadline");
+    set_phase(*session, Phase::Answered);
+    if (session->out || session->may_have_run) {
+        viewers_->failed(id);
+    } else {
+        viewers_->refused(id, 0);
+    }
+    tell(cinderfront::Abandoned{id});
+    session = find(id);
+    if (session != nullptr && session->out) withdraw(id, *session, Ending::Revoked);
+    drop_if_done(id);
+}
+
+// ---- From the servers ----
+
+void SessionTable::started(SessionId id, const std::string& description) {
+    Session* session = find(id);
+    if (session == nullptr || session->phase == Phase::Standing || !session->out) return;
+    if (session->phase == Phase::Answered) {  // the answer crossed the end of the set-up: nobody wants it
+        servers_->end_session(id);
+        return end_attempt(id, Ending::Revoked, {});
+    }
+    drop_deadline(session->cap);
+    set_phase(*session, Phase::Standing);
+    viewers_->answered(id, description);
+    tell(cinderfront::Started{id, session->server, session->attempts - 1, net::unix_now() - session->sent_at});
+}
+
+void SessionTable::attempt_ended(SessionId id, Ending how, const LoadReport& load) {
+    end_attempt(id, how, load);
+}
+
+void SessionTable::session_ended(SessionId id, Ending how, const LoadReport& load) {
+    const Session* session = find(id);
+    if (session == nullptr || session->phase != Phase::Standing) return;
+    // The viewer hears first: what has stood must be released towards it at once.
+    viewers_->over(id, how == Ending::Delivered ? SessionEnd::Completed
+                       : how == Ending::Revoked ? SessionEnd::ViewerLeft
+                                                : SessionEnd::Broken);
+    end_attempt(id, how, load);
+}
+
+void SessionTable::noted(SessionId id, cinderfront::NoteKind kind, double value) {
+    const Session* session = find(id);
+    if (session == nullptr || !session->out) return;
+    tell(cinderfront::Note{id, kind, session->attempts - 1, session->server, value});
+}
+
+void SessionTable::probed(ServerNumber server, Ending how, double latency, const LoadReport& load) {
+    tell(cinderfront::ProbeResult{server, how, latency, load});
+}
+
+// The one outcome of the attempt that is out.
+void SessionTable::end_attempt(SessionId id, Ending how, const LoadReport& load) {
+    Session* session = find(id);
+    if (session == nullptr || !session->out) return;
+    drop_deadline(session->cap);
+    session->out = false;
+    if (session->phase == Phase::Standing) set_phase(*session, Phase::Answered);
+    session->may_have_run = session->may_have_run || !proves_unrun(how);
+    cinderfront::Outcome outcome{id, session->attempts - 1, session->server, how,
+                                 net::unix_now() - session->sent_at, session->phase == Phase::Answered, load};
+    drop_if_done(id);
+    tell(outcome);
+}
+
+// Takes the attempt back: the server is told, and the module.
+void SessionTable::withdraw(SessionId id, Session& session, Ending how) {
+    if (session.phase == Phase::Standing) return;
+    servers_->give_up(id);
+    end_attempt(id, how, {});
+}
+
+void SessionTable::drop_if_done(SessionId id) {
+    const auto it = sessions_.find(id);
+    if (it == sessions_.end() || it->second.phase != Phase::Answered || it->second.out) return;
+    drop_deadline(it->second.cap);
+    sessions_.erase(it);
+}
+
+// ---- What the module wants done ----
+
+void SessionTable::act(const cinderfront::Send& action) {
+    Session* session = find(action.id);
+    if (session == nullptr || session->phase == Phase::Standing) return;
+    const double now = net::unix_now();
+    const double not_after = session->asked.request.not_after;
+    const std::uint32_t attempt = session->attempts++;
+    const auto unused = [&] {
+        tell(cinderfront::Outcome{action.id, attempt, action.server, Ending::Unused, 0,
+                                  session->phase == Phase::Answered, {}});
+    };
+    const KnownServer* server = directory_.find(action.server);
+    const bool over_limit = settings_.try_limit > 0 && attempt >= settings_.try_limit;
+    if (session->phase == Phase::Answered || session->out || over_limit || now >= not_after ||
+        server == nullptr || !server->may_take_new()) {
+        return unused();
+    }
+    session->out = true;
+    session->server = action.server;
+    session->sent_at = now;
+    const double cap = action.give_up_after != 0 ? now + action.give_up_after : not_after;
+    const double give_up_at = std::clamp(cap, now, not_after);
+    session->cap = loop_.deadlines().add(give_up_at, [this, id = action.id] {
+        Session* late = find(id);
+        if (late == nullptr) return;
+        late->cap = {0, 0};
+        withdraw(id, *late, Ending::Expired);
+    });
+    servers_->set_up(Attempt{action.id, action.server, session->asked.class_name, session->asked.title,
+                             session->asked.description, session->rung, give_up_at});
+}
+
+void SessionTable::act(const cinderfront::SetRung& action) {
+    Session* session = find(action.id);
+    if (session == nullptr || session->rung == action.rung) return;
+    session->rung = action.rung;
+    if (session->out) servers_->set_rung(action.id, action.rung);
+}
+
+void SessionTable::act(const cinderfront::Cancel& action) {
+    Session* session = find(action.id);
+    if (session == nullptr || !session->out || session->attempts != action.attempt + 1) return;
+    withdraw(action.id, *session, Ending::Revoked);
+}
+
+void SessionTable::act(const cinderfront::Refuse& action) {
+    Session* session = find(action.id);
+    if (session == nullptr || session->phase != Phase::Asked) return;
+    set_phase(*session, Phase::Answered);
+    viewers_->refused(action.id, settings_.can_advise_retry ? action.retry_after : 0);
+    drop_if_done(action.id);
+}
+
+void SessionTable::act(const cinderfront::Fail& action) {
+    Session* session = find(action.id);
+    if (session == nullptr || session->phase != Phase::Asked) return;
+    set_phase(*session, Phase::Answered);
+    viewers_->failed(action.id);
+    drop_if_done(action.id);
+}
+
+void SessionTable::act(const cinderfront::Move& action) {
+    Session* session = find(action.id);
+    if (session == nullptr || session->phase != Phase::Standing) return;
+    viewers_->moved(action.id);
+    servers_->end_session(action.id);
+    end_attempt(action.id, Ending::Revoked, {});
+}
+
+void SessionTable::act(const cinderfront::Timer& action) {
+    loop_.deadlines().add(action.at, [this, token = action.token] { tell(cinderfront::TimerFired{token}); });
+}
+
+void SessionTable::act(const cinderfront::Probe& action) {
+    if (settings_.can_probe) servers_->probe(action.server);
+}
+
+void SessionTable::act(const cinderfront::CloseIdle& action) {
+    servers_->close_idle(action.server);
+}
+
+void SessionTable::act(const cinderfront::Tell&) {
+    log_line("fault: the module speaks to its peers, which this deployment does not allow");
+}
+
+void SessionTable::act(const cinderfront::Trace& action) {
+    log_line("module: " + action.text);
+}
+
+}  // namespace jasperspread::agent
--- /dev/null
+++ b/src/agent/session_table.h
@@ -0,0 +1,89 @@
+// The sessions of this agent. Turns what both sides report into events of the decision module, and its actions
+// into calls of both sides. Sees to it that every set-up gets one final answer and every attempt one outcome.
+#pragma once
+
+#include <cinderfront/controller.h>
+
+#include <deque>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "agent/seam.h"
+#include "net/loop.h"
+
+namespace jasperspread::agent {
+
+class SessionTable : public ViewerEvents, public ServerEvents {
+public:
+    SessionTable(net::Loop& loop, const cinderfront::Settings& settings, std::uint64_t seed,
+                 const ServerDirectory& directory);
+    // Both sides must be there before the first event.
+    void connect(ViewerPort& viewers, ServerPort& servers);
+
+    void listed(const cinderfront::ServerList& list) { tell(list); }
+
+    void set_up(const SetUp& set_up) override;
+    void given_up(SessionId id) override;
+
+    void started(SessionId id, const std::string& description) override;
+    void attempt_ended(SessionId id, cinderfront::Ending how, const cinderfront::LoadReport& load) override;
+    void session_ended(SessionId id, cinderfront::Ending how, const cinderfront::LoadReport& load) override;
+    void noted(SessionId id, cinderfront::NoteKind kind, double value) override;
+    void probed(ServerNumber server, cinderfront::Ending how, double latency,
+                const cinderfront::LoadReport& load) override;
+
+    std::size_t unanswered() const { return unanswered_; }
+    std::size_t standing() const { return standing_; }
+
+private:
+    enum class Phase { Asked, Standing, Answered };  // Answered: over for the viewer, an attempt's end is due
+    struct Session {
+        SetUp asked;
+        Phase phase = Phase::Asked;
+        bool out = false;  // an attempt is at `server`, as set-up or as session
+        std::uint32_t attempts = 0;
+        ServerNumber server = 0;
+        int rung = 0;
+        double sent_at = 0;
+        bool may_have_run = false;
+        net::Deadlines::Key cap{0, 0}, net{0, 0};
+    };
+
+    void tell(cinderfront::Event event);
+    void act(const cinderfront::Send& action);
+    void act(const cinderfront::SetRung& action);
+    void act(const cinderfront::Cancel& action);
+    void act(const cinderfront::Refuse& action);
+    void act(const cinderfront::Fail& action);
+    void act(const cinderfront::Move& action);
+    void act(const cinderfront::Timer& action);
+    void act(const cinderfront::Probe& action);
+    void act(const cinderfront::CloseIdle& action);
+    void act(const cinderfront::Tell& action);
+    void act(const cinderfront::Subscribe&) {}  // the feed is always followed
+    void act(const cinderfront::FetchList&) {}
+    void act(const cinderfront::Trace& action);
+
+    Session* find(SessionId id);
+    void set_phase(Session& session, Phase phase);
+    void end_attempt(SessionId id, cinderfront::Ending how, const cinderfront::LoadReport& load);
+    void withdraw(SessionId id, Session& session, cinderfront::Ending how);
+    void answer_in_time(SessionId id);
+    void drop_if_done(SessionId id);
+    void drop_deadline(net::Deadlines::Key& key);
+
+    net::Loop& loop_;
+    const cinderfront::Settings settings_;
+    const ServerDirectory& directory_;
+    cinderfront::Controller module_;
+    ViewerPort* viewers_ = nullptr;
+    ServerPort* servers_ = nullptr;
+    std::unordered_map<SessionId, Session> sessions_;
+    std::size_t unanswered_ = 0, standing_ = 0;
+    std::deque<cinderfront::Event> events_;
+    bool telling_ = false;
+};
+
+}  // namespace jasperspread::agent
--- /dev/null
+++ b/src/codec/server_codec.h
@@ -0,0 +1,27 @@
+// The lesson servers' messages: one JSON object a line.
+#pragma once
+
+#include "message.h"
+
+#include <map>
+
+namespace jasperspread::codec {
+
+enum class ServerVerb { Start, Pending, Started, Finish, Finished, Echo, Echoed, Notice, Move, Rate, Unknown };
+
+struct ServerMessage {
+    ServerVerb verb = ServerVerb::Unknown;
+    std::uint64_t session = 0;
+    std::map<std::string, std::string> fields;  // numbers as their text
+    std::optional<int> cause;
+    std::optional<std::string> description;  // bytes, of whatever encoding
+
+    const std::string* field(const std::string& name) const;
+};
+
+// The first whole line of `bytes`; nullopt when more must come. Throws CodecError.
+std::optional<Decoded<ServerMessage>> decode_server(std::string_view bytes);
+// With its line feed. Throws CodecError (Oversized) when the line would pass the limit.
+std::string encode(const ServerMessage& message);
+
+}  // namespace jasperspread::codec
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,140 @@
+// jasperspread: the session agent. Wires the parts together and handles signals; decides nothing.
+#include <signal.h>
+#include <sys/resource.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <exception>
+#include <fstream>
+#include <iterator>
+#include <string>
+#include <system_error>
+
+#include "agent/config.h"
+#include "agent/feed_client.h"
+#include "agent/log.h"
+#include "agent/server_links.h"
+#include "agent/session_table.h"
+#include "agent/viewer_side.h"
+#include "net/buffer_pool.h"
+#include "net/loop.h"
+
+namespace {
+
+using namespace jasperspread;
+
+// After SIGTERM new set-ups keep coming for 0.6 s or so, and none may be lost: no end before this, s.
+constexpr double stay_least = 0.9;
+// Sessions that play are worth staying for; SIGKILL comes no sooner than 3.7 s after SIGTERM, s.
+constexpr double stay_most = 3.4;
+
+// SIGTERM and SIGINT as a descriptor of the loop.
+class Signals : private net::Ready {
+public:
+    Signals(net::Loop& loop, std::function<void()> told) : loop_(loop), told_(std::move(told)) {
+        sigset_t set;
+        sigemptyset(&set);
+        sigaddset(&set, SIGTERM);
+        sigaddset(&set, SIGINT);
+        if (sigprocmask(SIG_BLOCK, &set, nullptr) != 0) throw std::system_error(errno, std::generic_category());
+        fd_ = net::Fd(signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
+        if (!fd_) throw std::system_error(errno, std::generic_category(), "signalfd");
+        loop_.watch(fd_.get(), 1, *this);
+    }
+    ~Signals() { loop_.forget(fd_.get()); }
+    Signals(const Signals&) = delete;
+    Signals& operator=(const Signals&) = delete;
+
+private:
+    void ready(short) override {
+        signalfd_siginfo info;
+        while (read(fd_.get(), &info, sizeof info) == static_cast<ssize_t>(sizeof info)) told_();
+    }
+    net::Loop& loop_;
+    std::function<void()> told_;
+    net::Fd fd_;
+};
+
+agent::Config load_config(int argc, char** argv) {
+    const char* path = argc > 1 ? argv[1] : std::getenv("RELAY_CONFIG");
+    if (path == nullptr) throw agent::SettingsError("expected RELAY_CONFIG or an argument to name the configuration");
+    std::ifstream file(path, std::ios::binary);
+    if (!file) throw agent::SettingsError(std::string("expected a readable configuration at ") + path);
+    const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    return agent::read_config(text);
+}
+
+// Holds the process to the descriptors that it was given, so that running out shows here first.
+void limit_descriptors(std::size_t most) {
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+    limit.rlim_cur = limit.rlim_max < most ? limit.rlim_max : most;
+    setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+void serve(agent::Config config) {
+    net::Loop loop;
+    net::BufferPool pool;
+    double term_at = 0;
+    Signals signals(loop, [&] {
+        if (term_at == 0) agent::log_line("asked to end");
+        if (term_at == 0) term_at = net::unix_now();
+    });
+
+    constexpr std::size_t spare = 24;  // standard streams, listener, feed, signals, and some to breathe
+    const std::size_t viewers_most = config.descriptors / 3;
+    const cinderfront::Settings& settings = config.profile.settings;
+    agent::LinkLimits limits;
+    constexpr double usual_connect_timeout = 0.25;
+    constexpr std::size_t usual_streams = 32;
+    const agent::Profile& profile = config.profile;
+    limits.connect_timeout = profile.connect_timeout > 0 ? profile.connect_timeout : usual_connect_timeout;
+    limits.conn_idle = profile.conn_idle;
+    limits.streams_per_conn = profile.streams_per_conn > 0 ? profile.streams_per_conn : usual_streams;
+    limits.connections = config.descriptors - viewers_most - std::min(spare, config.descriptors / 3);
+    limits.note_every = settings.told_every;
+    limits.note_late = settings.told_late;
+
+    agent::SessionTable sessions(loop, settings, config.seed, config.directory);
+    agent::ServerLinks servers(loop, pool, sessions, config.directory, limits);
+    agent::ViewerSide viewers(loop, pool, sessions, profile, config.listen, viewers_most);
+    sessions.connect(viewers, servers);
+    sessions.listed(config.directory.restored());
+    agent::FeedClient feed(loop, pool, config.feed, profile, config.known_number,
+                           [&](const agent::ListChange& change) {
+                               const auto list = config.directory.apply(change);
+                               sessions.listed(list);
+                               servers.listed();
+                           });
+    agent::log_line(config.name + " listens at " + net::to_text(viewers.address()));
+
+    net::Timer wake(loop);
+    const auto may_end = [&] {
+        const double stayed = net::unix_now() - term_at;
+        if (term_at == 0 || stayed < stay_least || sessions.unanswered() > 0) return false;
+        return sessions.standing() == 0 || stayed >= stay_most;
+    };
+    while (!may_end()) {
+        constexpr double look_every = 0.05;
+        if (term_at != 0 && !wake.is_set()) wake.set(net::unix_now() + look_every, [] {});
+        loop.turn();
+    }
+    agent::log_line("ends with " + std::to_string(sessions.standing()) + " sessions standing");
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    signal(SIGPIPE, SIG_IGN);
+    try {
+        agent::Config config = load_config(argc, argv);
+        limit_descriptors(config.descriptors);
+        serve(std::move(config));
+    } catch (const std::exception& error) {
+        std::fprintf(stderr, "jasperspread: %s\n", error.what());
+        return 2;
+    }
+    return 0;
+}
--- /dev/null
+++ b/src/net/buffer_pool.h
@@ -0,0 +1,46 @@
+// Buffers of one size, used again. A buffer holds any whole message.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace jasperspread::net {
+
+constexpr std::size_t buffer_size = 16 * 1024;
+
+// Bytes between `begin` and `end`, read at the front and filled at the back.
+struct Buffer {
+    std::array<char, buffer_size> bytes;
+    std::size_t begin = 0, end = 0;
+
+    std::string_view held() const { return {bytes.data() + begin, end - begin}; }
+    std::size_t room() const { return bytes.size() - end; }
+    void append(std::string_view more);
+    void drop(std::size_t count);
+    void close_up();  // moves what is held to the front
+};
+
+class BufferPool {
+public:
+    // More than `kept` buffers that lie idle go back to the system.
+    explicit BufferPool(std::size_t kept = 128) : kept_(kept) {}
+
+    struct Return {
+        BufferPool* pool = nullptr;
+        void operator()(Buffer* buffer) const { pool->put(buffer); }
+    };
+    using Lease = std::unique_ptr<Buffer, Return>;  // goes back to the pool when dropped
+
+    Lease lease();
+    std::size_t idle() const { return idle_.size(); }
+
+private:
+    void put(Buffer* buffer);
+    std::size_t kept_;
+    std::vector<std::unique_ptr<Buffer>> idle_;
+};
+
+}  // namespace jasperspread::net
--- /dev/null
+++ b/src/net/connection.cpp
@@ -0,0 +1,187 @@
+#include "connection.h"
+
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+
+namespace jasperspread::net {
+namespace {
+constexpr std::size_t most_kept = 16;  // buffers of output: 256 KiB
+constexpr int reads_a_turn = 4;        // so that one busy peer can't starve the others
+constexpr double stall_s = 10, finish_s = 1;
+}  // namespace
+
+Connection::Connection(Loop& loop, BufferPool& pool, Owner& owner, Fd accepted)
+    : loop_(loop), pool_(pool), owner_(owner), fd_(std::move(accepted)), timer_(loop), stall_(loop) {
+    send_at_once(fd_.get());
+    watch();
+}
+
+Connection::Connection(Loop& loop, BufferPool& pool, Owner& owner, const Address& to, double connect_timeout)
+    : loop_(loop),
+      pool_(pool),
+      owner_(owner),
+      fd_(stream_socket()),
+      state_(State::Connecting),
+      timer_(loop),
+      stall_(loop) {
+    start_connect(to, connect_timeout);
+}
+
+void Connection::start_connect(const Address& to, double connect_timeout) {
+    if (!fd_) return end_soon(End::Unavailable);
+    send_at_once(fd_.get());
+    if (::connect(fd_.get(), to.raw(), sizeof to.in) != 0 && errno != EINPROGRESS) {
+        return end_soon(errno == ECONNREFUSED ? End::Refused : End::Unavailable);
+    }
+    timer_.set(unix_now() + connect_timeout, [this] { end(End::TimedOut); });
+    watch();
+}
+
+void Connection::watch() {
+    if (!fd_) return;
+    const bool write = state_ == State::Connecting || !out_.empty() || wants_writable_;
+    loop_.watch(fd_.get(), static_cast<short>(POLLIN | (write ? POLLOUT : 0)), *this);
+}
+
+void Connection::connected() {
+    int error = 0;
+    socklen_t size = sizeof error;
+    ::getsockopt(fd_.get(), SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0) return end(error == ETIMEDOUT ? End::TimedOut : End::Refused);
+    timer_.cancel();
+    state_ = State::Open;
+    watch();
+    owner_.opened(*this);
+}
+
+void Connection::ready(short events) {
+    if (state_ == State::Connecting) return connected();
+    if ((events & POLLOUT) != 0) flush();
+    if (state_ != State::Closed && (events & (POLLIN | POLLHUP | POLLERR)) != 0) read();
+}
+
+void Connection::read() {
+    for (int i = 0; i < reads_a_turn && state_ != State::Closed; ++i) {
+        if (!in_) in_ = pool_.lease();
+        in_->close_up();
+        const ssize_t got = ::recv(fd_.get(), in_->bytes.data() + in_->end, in_->room(), 0);
+        if (got < 0 && errno == EINTR) continue;
+        if (got < 0 && errno == EAGAIN) break;
+        if (got < 0) return end(state_ == State::Finishing ? End::Finished : End::Reset);
+        if (got == 0) return end(state_ == State::Finishing ? End::Finished : End::PeerClosed);
+        if (state_ == State::Finishing) continue;  // nobody wants it any more
+        in_->end += static_cast<std::size_t>(got);
+        const std::size_t taken = owner_.received(*this, in_->held());
+        if (state_ == State::Closed || !in_) return;
+        if (state_ == State::Finishing) {
+            in_->begin = in_->end = 0;
+        } else {
+            in_->drop(taken);
+            // An owner takes or rejects all that fits a buffer; one that does neither would hang here.
+            if (in_->begin == 0 && in_->room() == 0) return end(End::Overflow);
+        }
+    }
+    if (in_ && in_->begin == in_->end) in_.reset();
+}
+
+std::size_t Connection::write(std::string_view bytes) {
+    std::size_t done = 0;
+    while (done < bytes.size()) {
+        const ssize_t sent = ::send(fd_.get(), bytes.data() + done, bytes.size() - done, MSG_NOSIGNAL);
+        if (sent >= 0) {
+            done += static_cast<std::size_t>(sent);
+        } else if (errno != EINTR) {
+            // What the peer sent before it broke off may still be there to read: the poll after this tells.
+            if (errno != EAGAIN) end_soon(End::Reset);
+            break;
+        }
+    }
+    return done;
+}
+
+void Connection::keep(std::string_view bytes) {
+    while (!bytes.empty()) {
+        if (out_.empty() || out_.back()->room() == 0) {
+            if (out_.size() >= most_kept) return end_soon(End::Overflow);
+            out_.push_back(pool_.lease());
+        }
+        const std::size_t part = std::min(bytes.size(), out_.back()->room());
+        out_.back()->append(bytes.substr(0, part));
+        bytes.remove_prefix(part);
+    }
+    if (!stall_.is_set()) stall_.set(unix_now() + stall_s, [this] { end(End::Stalled); });
+    watch();
+}
+
+void Connection::send(std::string_view bytes) {
+    if (state_ != State::Open) return;
+    if (out_.empty()) bytes.remove_prefix(write(bytes));
+    if (!bytes.empty()) keep(bytes);
+}
+
+bool Connection::offer(std::string_view bytes) {
+    const std::size_t done = state_ == State::Open && out_.empty() ? write(bytes) : 0;
+    if (done > 0 && done < bytes.size()) keep(bytes.substr(done));
+    if (done == 0 && state_ == State::Open) {
+        wants_writable_ = true;
+        watch();
+    }
+    return done > 0;
+}
+
+void Connection::flush() {
+    bool moved = false;
+    while (!out_.empty()) {
+        Buffer& first = *out_.front();
+        const std::size_t done = write(first.held());
+        moved = moved || done > 0;
+        first.drop(done);
+        if (first.begin != first.end) break;
+        out_.pop_front();
+    }
+    if (out_.empty()) {
+        stall_.cancel();
+        if (state_ == State::Finishing) ::shutdown(fd_.get(), SHUT_WR);
+    } else if (moved) {
+        stall_.set(unix_now() + stall_s, [this] { end(End::Stalled); });
+    }
+    const bool tell = out_.empty() && wants_writable_ && state_ == State::Open;
+    if (tell) wants_writable_ = false;
+    watch();
+    if (tell) owner_.writable(*this);
+}
+
+void Connection::finish() {
+    if (state_ == State::Connecting) return end_soon(End::Finished);
+    if (state_ != State::Open) return;
+    state_ = State::Finishing;
+    wants_writable_ = false;
+    if (out_.empty()) ::shutdown(fd_.get(), SHUT_WR);
+    timer_.set(unix_now() + finish_s, [this] { end(End::Finished); });
+    watch();
+}
+
+void Connection::end_soon(End why) {
+    timer_.set(unix_now(), [this, why] { end(why); });
+}
+
+void Connection::end(End why) {
+    if (state_ == State::Closed) return;
+    close();
+    owner_.ended(*this, why);
+}
+
+void Connection::close() {
+    if (fd_) loop_.forget(fd_.get());
+    fd_.reset();
+    state_ = State::Closed;
+    timer_.cancel();
+    stall_.cancel();
+    in_.reset();
+    out_.clear();
+}
+
+}  // namespace jasperspread::net
--- /dev/null
+++ b/src/net/connection.h
@@ -0,0 +1,77 @@
+// A TCP connection as an object with callbacks. Output is bounded; what comes in is kept until it is taken.
+#pragma once
+
+#include <deque>
+#include <string_view>
+
+#include "buffer_pool.h"
+#include "loop.h"
+#include "socket.h"
+
+namespace jasperspread::net {
+
+class Connection : private Ready {
+public:
+    enum class End {
+        Refused,     // never came up, and the peer said so
+        Unavailable,  // never came up: no descriptor or port was left here
+        TimedOut,    // never came up in time
+        PeerClosed,  // the peer has closed it in order
+        Reset,       // broken
+        Overflow,    // the peer does not read, and the output bound is reached
+        Stalled,     // the peer has read nothing for too long
+        Finished,    // closed from here by finish()
+    };
+    class Owner {
+    public:
+        virtual void opened(Connection&) {}
+        // Takes whole messages off the front and tells how many bytes they had.
+        virtual std::size_t received(Connection&, std::string_view bytes) = 0;
+        virtual void writable(Connection&) {}  // output that had to wait is all written
+        virtual void ended(Connection&, End) = 0;  // the last callback
+
+    protected:
+        ~Owner() = default;
+    };
+
+    Connection(Loop& loop, BufferPool& pool, Owner& owner, Fd accepted);
+    Connection(Loop& loop, BufferPool& pool, Owner& owner, const Address& to, double connect_timeout);
+    ~Connection() { close(); }
+    Connection(const Connection&) = delete;
+    Connection& operator=(const Connection&) = delete;
+
+    bool is_open() const { return state_ == State::Open; }
+    // Sends, or keeps what the kernel does not take now; past the bound the connection ends with Overflow.
+    void send(std::string_view bytes);
+    // Sends only if the first byte can go out now; false: nothing was sent, writable() will tell.
+    bool offer(std::string_view bytes);
+    // Writes what is kept, tells the peer, and ends once the peer has closed too, or after a moment.
+    void finish();
+    void close();  // at once and without a callback
+
+private:
+    enum class State { Connecting, Open, Finishing, Closed };
+    void ready(short events) override;
+    void start_connect(const Address& to, double connect_timeout);
+    void connected();
+    void read();
+    void flush();
+    void keep(std::string_view bytes);
+    std::size_t write(std::string_view bytes);  // as much as goes; a break is noted for the next turn
+    void watch();
+    void end_soon(End why);
+    void end(End why);
+
+    Loop& loop_;
+    BufferPool& pool_;
+    Owner& owner_;
+    Fd fd_;
+    State state_ = State::Open;
+    BufferPool::Lease in_;
+    std::deque<BufferPool::Lease> out_;
+    bool wants_writable_ = false;
+    Timer timer_;  // of the connect, of finishing, or of an end that is due
+    Timer stall_;
+};
+
+}  // namespace jasperspread::net
--- /dev/null
+++ b/src/net/loop.cpp
@@ -0,0 +1,84 @@
+#include "loop.h"
+
+#include <poll.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <chrono>
+#include <cmath>
+#include <limits>
+#include <system_error>
+
+namespace jasperspread::net {
+
+double unix_now() {
+    return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+Deadlines::Key Deadlines::add(double at, std::function<void()> task) {
+    const Key key{at, ++added_};
+    entries_.emplace(key, std::move(task));
+    return key;
+}
+
+double Deadlines::next() const {
+    return entries_.empty() ? std::numeric_limits<double>::infinity() : entries_.begin()->first.first;
+}
+
+void Deadlines::sweep(double now) {
+    std::vector<Key> due;
+    for (const auto& [key, task] : entries_) {
+        if (key.first > now) break;
+        due.push_back(key);
+    }
+    for (const Key& key : due) {
+        auto node = entries_.extract(key);  // an earlier task may have cancelled it
+        if (!node.empty()) node.mapped()();
+    }
+}
+
+void Loop::watch(int fd, short events, Ready& who) {
+    auto [it, fresh] = watches_.try_emplace(fd);
+    if (fresh) it->second.serial = ++serial_;
+    it->second.events = events;
+    it->second.who = &who;
+}
+
+void Loop::turn() {
+    constexpr double longest_wait_s = 60;
+    std::vector<pollfd> polled;
+    std::vector<std::uint64_t> serials;
+    polled.reserve(watches_.size());
+    serials.reserve(watches_.size());
+    for (const auto& [fd, watch] : watches_) {
+        polled.push_back({fd, watch.events, 0});
+        serials.push_back(watch.serial);
+    }
+    const double wait = std::clamp(deadlines_.next() - unix_now(), 0.0, longest_wait_s);
+    const int count =
+        ::poll(polled.data(), static_cast<nfds_t>(polled.size()), static_cast<int>(std::ceil(wait * 1000)));
+    if (count < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "poll");
+    for (std::size_t i = 0; count > 0 && i < polled.size(); ++i) {
+        if (polled[i].revents == 0) continue;
+        const auto it = watches_.find(polled[i].fd);
+        // An earlier callback of this turn may have closed it, and a new one may have got its number.
+        if (it != watches_.end() && it->second.serial == serials[i]) it->second.who->ready(polled[i].revents);
+    }
+    deadlines_.sweep(unix_now());
+    retired_.clear();
+}
+
+void Timer::set(double at, std::function<void()> task) {
+    cancel();
+    key_ = loop_->deadlines().add(at, [this, run = std::move(task)] {
+        key_ = {0, 0};
+        run();
+    });
+}
+
+void Timer::cancel() {
+    if (is_set()) loop_->deadlines().cancel(key_);
+    key_ = {0, 0};
+}
+
+}  // namespace jasperspread::net
--- /dev/null
+++ b/src/net/loop.h
@@ -0,0 +1,80 @@
+// One poll(2) loop: descriptors that wait to be ready, and deadlines in one sorted structure that every turn
+// sweeps. All times are Unix time in seconds.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <utility>
+#include <vector>
+
+namespace jasperspread::net {
+
+double unix_now();
+
+// Whoever waits for a descriptor. `events` are those of poll(2).
+class Ready {
+public:
+    virtual void ready(short events) = 0;
+
+protected:
+    ~Ready() = default;
+};
+
+class Deadlines {
+public:
+    using Key = std::pair<double, std::uint64_t>;  // when, and the order of adding
+
+    Key add(double at, std::function<void()> task);
+    void cancel(const Key& key) { entries_.erase(key); }
+    double next() const;  // infinity when there is none
+    // Runs what is due at `now`. What a task adds waits for the next sweep, so a sweep always ends.
+    void sweep(double now);
+
+private:
+    std::map<Key, std::function<void()>> entries_;
+    std::uint64_t added_ = 0;
+};
+
+class Loop {
+public:
+    // Waits for `events` on a descriptor; replaces what was waited for before.
+    void watch(int fd, short events, Ready& who);
+    void forget(int fd) { watches_.erase(fd); }
+    Deadlines& deadlines() { return deadlines_; }
+    // Keeps an object alive until the turn is over, for owners that drop it inside one of its callbacks.
+    void retire(std::shared_ptr<void> object) { retired_.push_back(std::move(object)); }
+    // One turn: what is ready, then what is due.
+    void turn();
+
+private:
+    struct Watch {
+        short events = 0;
+        Ready* who = nullptr;
+        std::uint64_t serial = 0;  // tells a reused descriptor from the one that was polled
+    };
+    std::map<int, Watch> watches_;
+    std::uint64_t serial_ = 0;
+    Deadlines deadlines_;
+    std::vector<std::shared_ptr<void>> retired_;
+};
+
+// A deadline that its owner holds: setting it anew or destroying it cancels the former one.
+class Timer {
+public:
+    explicit Timer(Loop& loop) : loop_(&loop) {}
+    ~Timer() { cancel(); }
+    Timer(const Timer&) = delete;
+    Timer& operator=(const Timer&) = delete;
+
+    void set(double at, std::function<void()> task);
+    void cancel();
+    bool is_set() const { return key_.second != 0; }
+
+private:
+    Loop* loop_;
+    Deadlines::Key key_{0, 0};
+};
+
+}  // namespace jasperspread::net
