Add the scenario tests, and keep link_ended off entries that a resend replaced

Seen: the scenario 'a server's line that can't be read' aborted under the address sanitizer: heap-use-after-free in ServerLinks::link_ended, which read it->second.state after attempt_over(). Cause: the end of an attempt runs the module at once, which may place the same id again and so replace the entry. The state is now read first. Ruled out: the viewers' side (its stack was not involved) and the parser (it had rejected the line).

--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -266,11 +266,13 @@
     for (const SessionId id : sessions) {
         const auto it = entries_.find(id);
         if (it == entries_.end()) continue;
-        if (it->second.state == State::Written) attempt_over(id, Ending::Dropped, {});
-        if (it->second.state != State::Queued) continue;
-        if (never_up) {
+        // Read before it is over: its end may send it out again under the same id, on a new entry.
+        const State state = it->second.state;
+        if (state == State::Written) {
+            attempt_over(id, Ending::Dropped, {});
+        } else if (state == State::Queued && never_up) {
             attempt_over(id, Ending::DialFailed, {});
-        } else {
+        } else if (state == State::Queued) {
             // Not a byte of it has gone out: it may take another connection.
             const Attempt attempt = it->second.attempt;
             entries_.erase(it);
--- /dev/null
+++ b/tests/scenarios/scenario.h
@@ -0,0 +1,27 @@
+// One small language for tests. Each line names a party, what it does, and with what; # begins a comment.
+//
+//   agent send start [key=value ...]     writes a configuration (limits.sockets, feed=off, drop=FIELD, ...) and
+//                                        starts the program
+//   agent send term                      SIGTERM
+//   agent expect exit=N | log=TEXT       its end, or a line of its log that holds TEXT
+//   v1 send setup 7 class=free wait=900  a viewers' message; also test, release, ...; raw=HEX for any bytes
+//   v1 expect answer 7 body=there        the next message, with at least these fields
+//   s1 expect START 7 rung=1             the same for a server, whose messages may come on any connection
+//   s1 send STARTED 7 blob=there
+//   feed expect after=3, feed send n=4 s1=draining, feed send comment
+//   X expect nothing 0.3, X expect closed, X close, X reset, X flood
+//   wait 0.2
+//   viewer-codec, server-codec, feed-codec: `send` bytes in single steps, `expect` what they mean
+//
+// Values of the form hex:00ff are bytes. Servers s1, s2, ... are all that the text names.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace scenario {
+
+// Plays the lines and returns what went wrong, with its line; empty when all went as told.
+std::string play(std::string_view text);
+
+}  // namespace scenario
