--- a/src/agent/config.cpp
+++ b/src/agent/config.cpp
@@ -68,7 +68,9 @@
     if (!events.is_array()) bad("known.events (a list)", events.dump());
     for (const Json& event : events) {
         try {
-            config.directory.apply(read_change(event, config.profile));
+            const ListChange change = read_change(event, config.profile);
+            if (!change.unreadable.empty()) throw SettingsError(change.unreadable.front());
+            config.directory.apply(change);
         } catch (const SettingsError& error) {
             throw SettingsError(std::string("known.events: ") + error.what());
         }
--- a/src/agent/directory.cpp
+++ b/src/agent/directory.cpp
@@ -63,7 +63,13 @@
     change.complete = complete.get<bool>();
     const Json& members = member(list, "members");
     if (!members.is_array()) bad("members (a list)", members.dump());
-    for (const Json& one : members) change.members.push_back(read_member(one, profile));
+    for (const Json& one : members) {
+        try {
+            change.members.push_back(read_member(one, profile));
+        } catch (const SettingsError& error) {
+            change.unreadable.emplace_back(error.what());
+        }
+    }
     return change;
 }
 
--- a/src/agent/directory.h
+++ b/src/agent/directory.h
@@ -28,6 +28,7 @@
     std::uint64_t number = 0;
     bool complete = false;
     std::vector<MemberChange> members;
+    std::vector<std::string> unreadable;  // what was wrong with members that are left out
 };
 
 // One event of the feed. Throws SettingsError, which names the field.
--- a/src/agent/feed_client.cpp
+++ b/src/agent/feed_client.cpp
@@ -5,6 +5,7 @@
 
 #include "agent/log.h"
 #include "codec/error.h"
+#include "codec/message.h"
 
 namespace jasperspread::agent {
 namespace {
@@ -56,9 +57,18 @@
 }
 
 void FeedClient::take(const codec::FeedEvent& event) {
-    const auto json = nlohmann::json::parse(event.data, nullptr, false);
-    if (json.is_discarded()) codec::malformed("an event is not JSON");
-    const ListChange change = read_change(json, profile_);
+    // Guards against an event that can't be read: asked for again it would come again, and those after it
+    // (a drain, say) would never be heard. What can be read of it is taken, and the rest is logged.
+    ListChange change;
+    try {
+        change = read_change(nlohmann::json::parse(event.data), profile_);
+    } catch (const std::exception& error) {
+        log_line("feed: event '" + event.id + "' is passed over: " + error.what());
+        const auto number = codec::parse_number(event.id);
+        if (number && *number > static_cast<double>(last_)) last_ = static_cast<std::uint64_t>(*number);
+        return;
+    }
+    for (const std::string& problem : change.unreadable) log_line("feed: a member is passed over: " + problem);
     if (change.number <= last_ && !change.complete) return;  // told before
     last_ = std::max(last_, change.number);
     told_(change);
--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -106,7 +106,7 @@
         at.heard = used = net::unix_now();
         at.vain = 0;
         try {
-            while (connection.is_open()) {
+            while (true) {  // also while it is being closed from here: a release may be among it
                 const auto decoded = codec::decode_server(bytes.substr(taken));
                 if (!decoded) break;
                 taken += decoded->size;
--- a/src/agent/viewer_side.cpp
+++ b/src/agent/viewer_side.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr std::uint8_t cause_over = 16, cause_broken = 41, cause_refused = 42, test_passed = 1, test_failed = 0;
+constexpr std::uint8_t cause_over = 16, cause_broken = 41, cause_refused = 42, test_passed = 1;
 // A viewer hears of an end within so long or never; and so long a word may be lost with its connection, s.
 constexpr double owed_for_s = 8, heard_within_s = 1;
 // A connection must have rested so long before it may make room for a new one, s.
@@ -76,6 +76,8 @@
         : used(net::unix_now()), side_(side), connection(side.loop_, side.pool_, *this, std::move(fd)) {}
 
     std::size_t received(Connection&, std::string_view bytes) override {
+        // What crosses our close is sent again on another connection: taken here too, it would count twice.
+        if (!connection.is_open()) return bytes.size();
         std::size_t taken = 0;
         used = net::unix_now();
         try {
@@ -165,7 +167,14 @@
 }
 
 void ViewerSide::take_set_up(Peer& peer, const ViewerMessage& message) {
-    const SetUp set_up = read_set_up(message, profile_, net::unix_now());
+    SetUp set_up;
+    try {
+        set_up = read_set_up(message, profile_, net::unix_now());
+    } catch (const codec::CodecError& error) {
+        // The message is whole but asks what nobody can do: refused, as nothing has run.
+        log_line(std::string("viewer: ") + error.what());
+        return peer.connection.send(encode(word(ViewerType::Release, message.session, cause_refused)));
+    }
     if (!set_up.playing_at) {
         Peer*& on = asked_on_[message.session];
         if (on != nullptr) {  // sent again after its connection was closed: answered on the new one
@@ -197,12 +206,7 @@
     // Guards against a word that crossed the viewer's close and was never read: it is said once more.
     const double now = net::unix_now();
     for (const Owed& owed : std::exchange(peer.said, {})) {
-        if (now > owed.since + heard_within_s) continue;
-        if (Peer* other = any_peer(owed.id)) {
-            say(*other, owed);
-        } else {
-            owed_.push_back(owed);
-        }
+        if (now <= owed.since + heard_within_s) say_soon(any_peer(owed.id), owed);
     }
     for (const SessionId id : std::set<SessionId>(peer.open)) events_.given_up(id);
 }
@@ -270,12 +274,13 @@
         it->second->known.erase(id);
         asked_on_.erase(it);
     }
-    const Owed owed{id, encode(message), net::unix_now()};
-    if (peer != nullptr) {
-        say(*peer, owed);
-    } else {
-        owed_.push_back(owed);
-    }
+    say_soon(peer, Owed{id, encode(message), net::unix_now()});
+}
+
+void ViewerSide::say_soon(Peer* peer, const Owed& owed) {
+    if (peer != nullptr) return say(*peer, owed);
+    std::erase_if(owed_, [&](const Owed& old) { return old.since < owed.since - owed_for_s; });
+    owed_.push_back(owed);
 }
 
 void ViewerSide::say(Peer& peer, const Owed& owed) {
--- a/src/agent/viewer_side.h
+++ b/src/agent/viewer_side.h
@@ -48,6 +48,7 @@
     void answer(SessionId id, const codec::ViewerMessage& message);
     void owe(SessionId id, const codec::ViewerMessage& message);
     void say(Peer& peer, const Owed& owed);
+    void say_soon(Peer* peer, const Owed& owed);  // on the next connection where there is none
     Peer* any_peer(SessionId id);
 
     net::Loop& loop_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -4,6 +4,7 @@
 #include <sys/signalfd.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
@@ -27,8 +28,9 @@
 
 // After SIGTERM new set-ups keep coming for 0.6 s or so, and none may be lost: no end before this, s.
 constexpr double stay_least = 0.9;
-// Sessions that play are worth staying for; SIGKILL comes no sooner than 3.7 s after SIGTERM, s.
-constexpr double stay_most = 3.4;
+// Sessions that play are worth staying for. SIGKILL comes no sooner than the longest deadline, 3 s at most, and
+// 0.7 s after SIGTERM: so long after that deadline the program goes by itself, s.
+constexpr double longest_counted = 3.0, stay_over_deadline = 0.4;
 
 // SIGTERM and SIGINT as a descriptor of the loop.
 class Signals : private net::Ready {
@@ -111,6 +113,9 @@
     agent::log_line(config.name + " listens at " + net::to_text(viewers.address()));
 
     net::Timer wake(loop);
+    double deadline = 0;
+    for (const auto& cls : settings.classes) deadline = std::max(deadline, cls.deadline);
+    const double stay_most = std::max(stay_least, std::min(deadline, longest_counted) + stay_over_deadline);
     const auto may_end = [&] {
         const double stayed = net::unix_now() - term_at;
         if (term_at == 0 || stayed < stay_least || sessions.unanswered() > 0) return false;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -72,17 +72,12 @@
         if (got < 0 && errno == EAGAIN) break;
         if (got < 0) return end(state_ == State::Finishing ? End::Finished : End::Reset);
         if (got == 0) return end(state_ == State::Finishing ? End::Finished : End::PeerClosed);
-        if (state_ == State::Finishing) continue;  // nobody wants it any more
         in_->end += static_cast<std::size_t>(got);
         const std::size_t taken = owner_.received(*this, in_->held());
-        if (state_ == State::Closed || !in_) return;
-        if (state_ == State::Finishing) {
-            in_->begin = in_->end = 0;
-        } else {
-            in_->drop(taken);
-            // An owner takes or rejects all that fits a buffer; one that does neither would hang here.
-            if (in_->begin == 0 && in_->room() == 0) return end(End::Overflow);
-        }
+        if (state_ == State::Closed) return;
+        in_->drop(taken);
+        // An owner takes or rejects all that fits a buffer; one that does neither would hang here.
+        if (in_->begin == 0 && in_->room() == 0) return end(End::Overflow);
     }
     if (in_ && in_->begin == in_->end) in_.reset();
 }
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -45,7 +45,8 @@
     void send(std::string_view bytes);
     // Sends only if the first byte can go out now; false: nothing was sent, writable() will tell.
     bool offer(std::string_view bytes);
-    // Writes what is kept, tells the peer, and ends once the peer has closed too, or after a moment.
+    // Writes what is kept, tells the peer, and ends once the peer has closed too, or after a moment. Until then
+    // the owner still gets what the peer says.
     void finish();
     void close();  // at once and without a callback
 
