--- a/examples/try_it/toy_server.cpp
+++ b/examples/try_it/toy_server.cpp
@@ -1,5 +1,5 @@
-// A toy lesson server and control feed in one: plays every session for some seconds, tells how full its link is,
-// and sends a comment on the feed each second.
+// A toy lesson server and control feed in one: plays every session for some seconds, tells how full its link
+// is, and sends a comment on the feed each second.
 //
 //   jasperspread_toy_server [SERVER_ADDRESS [FEED_ADDRESS [SECONDS]]]
 #include <cstdio>
@@ -26,8 +26,9 @@
 class Toy : public net::Connection::Owner {
 public:
     Toy(net::Loop& loop, const std::string& at)
-        : loop_(loop), listener_(loop, address_of(at), {[this](net::Fd fd) { accepted(std::move(fd)); },
-                                                        [] { return true; }, [] {}}) {}
+        : loop_(loop),
+          listener_(loop, address_of(at),
+                    {[this](net::Fd fd) { accepted(std::move(fd)); }, [] { return true; }, [] {}}) {}
     virtual ~Toy() = default;
     void ended(net::Connection& connection, net::Connection::End) override {
         const auto it = open_.find(&connection);
@@ -139,9 +140,12 @@
 
 int main(int argc, char** argv) {
     try {
-        const auto argument = [&](int i, const char* usual) { return std::string(argc > i ? argv[i] : usual); };
+        const auto argument = [&](int i, const char* usual) {
+            return std::string(argc > i ? argv[i] : usual);
+        };
         net::Loop loop;
-        LessonServer server(loop, argument(1, "127.0.0.1:2906"), std::strtod(argument(3, "5").c_str(), nullptr));
+        LessonServer server(loop, argument(1, "127.0.0.1:2906"),
+                            std::strtod(argument(3, "5").c_str(), nullptr));
         Feed feed(loop, argument(2, "127.0.0.1:4222"));
         while (true) loop.turn();
     } catch (const std::exception& error) {
--- a/examples/try_it/toy_viewer.cpp
+++ b/examples/try_it/toy_viewer.cpp
@@ -50,16 +50,26 @@
     const auto address = net::parse_address(agent);
     if (!address) throw std::runtime_error("not an address and port: " + agent);
     const net::Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-    if (::connect(fd.get(), address->raw(), sizeof address->in) != 0) throw std::runtime_error("no agent there");
-    const std::string request = encode(set_up(class_name));
-    if (::send(fd.get(), request.data(), request.size(), MSG_NOSIGNAL) < 0) throw std::runtime_error("broken off");
+    if (::connect(fd.get(), address->raw(), sizeof address->in) != 0)
+        throw std::runtime_error("no agent there");
+    const ViewerMessage asked = set_up(class_name);
+    const std::string request = encode(asked);
+    if (::send(fd.get(), request.data(), request.size(), MSG_NOSIGNAL) < 0)
+        throw std::runtime_error("broken off");
     std::string in;
     std::array<char, 4096> bytes;
     for (ssize_t got = 0; (got = ::recv(fd.get(), bytes.data(), bytes.size(), 0)) > 0;) {
         in.append(bytes.data(), static_cast<std::size_t>(got));
         while (const auto decoded = codec::decode_viewer(in)) {
             in.erase(0, decoded->size);
-            if (heard(decoded->message)) return;
+            // Words on other sessions may come too: they belong to no connection.
+            if (decoded->message.session != asked.session || !heard(decoded->message)) continue;
+            ViewerMessage thanks;
+            thanks.type = static_cast<std::uint8_t>(ViewerType::ReleaseHeard);
+            thanks.session = asked.session;
+            const std::string bytes_out = encode(thanks);
+            ::send(fd.get(), bytes_out.data(), bytes_out.size(), MSG_NOSIGNAL);
+            return;
         }
     }
     throw std::runtime_error("the agent has closed the connection");
--- a/src/agent/config.cpp
+++ b/src/agent/config.cpp
@@ -34,7 +34,8 @@
     if (!limits->is_object()) bad("limits (an object)", limits->dump());
     const auto it = limits->find(name);
     if (it == limits->end()) return fallback;
-    if (!it->is_number() || it->get<double>() < 1) bad(std::string("limits.") + name + " (1 or more)", it->dump());
+    if (!it->is_number() || it->get<double>() < 1)
+        bad(std::string("limits.") + name + " (1 or more)", it->dump());
     return static_cast<std::size_t>(it->get<double>());
 }
 
@@ -60,7 +61,8 @@
     const Json& settings = member(json, "settings", "settings");
     if (!settings.is_object()) bad("settings (an object)", settings.dump());
     config.profile = read_profile(pairs_from_json(settings));
-    if (config.profile.settings.classes.empty()) throw SettingsError("expected settings.classes to name a class");
+    if (config.profile.settings.classes.empty())
+        throw SettingsError("expected settings.classes to name a class");
     const Json& known = member(json, "known", "known");
     const Json& last = member(known, "n", "known.n");
     const Json& events = member(known, "events", "known.events");
--- a/src/agent/directory.cpp
+++ b/src/agent/directory.cpp
@@ -33,15 +33,15 @@
 MemberChange read_member(const Json& json, const Profile& profile) {
     MemberChange change;
     change.id = text(json, "id");
-    change.entry.state =
-        choice<ServerState>({{"up", ServerState::Up}, {"draining", ServerState::Leaving}, {"removed", ServerState::Gone}},
-                            text(json, "phase"), "up, draining or removed");
+    change.entry.state = choice<ServerState>(
+        {{"up", ServerState::Up}, {"draining", ServerState::Leaving}, {"removed", ServerState::Gone}},
+        text(json, "phase"), "up, draining or removed");
     const std::string host_port = text(json, "host_port");
     const auto address = net::parse_address(host_port);
     if (!address) bad("host_port (an address and port)", host_port);
     change.address = *address;
-    change.entry.zone =
-        static_cast<std::uint32_t>(index_of(profile.zone_names, plain_name(text(json, "locality")), "locality"));
+    change.entry.zone = static_cast<std::uint32_t>(
+        index_of(profile.zone_names, plain_name(text(json, "locality")), "locality"));
     change.entry.kind =
         static_cast<std::uint32_t>(index_of(profile.kind_names, plain_name(text(json, "flavor")), "flavor"));
     change.entry.cell = static_cast<std::uint32_t>(number(json, "cell"));
@@ -77,7 +77,8 @@
 // whose number is taken, gets the next free number after its hash.
 ServerNumber ServerDirectory::number_for(const std::string& id) {
     if (const auto it = numbers_.find(id); it != numbers_.end()) return it->second;
-    const auto digits = id.starts_with("s-") ? codec::parse_hex(std::string_view(id).substr(2)) : std::nullopt;
+    const auto digits =
+        id.starts_with("s-") ? codec::parse_hex(std::string_view(id).substr(2)) : std::nullopt;
     ServerNumber value = 2166136261;
     if (digits && *digits <= std::numeric_limits<ServerNumber>::max()) {
         value = static_cast<ServerNumber>(*digits);
--- a/src/agent/directory.h
+++ b/src/agent/directory.h
@@ -1,5 +1,5 @@
-// The servers that the control feed has named: their ids, as text and as the module's numbers, their addresses
-// and states.
+// The servers that the control feed has named: their ids, as text and as the module's numbers, their
+// addresses and states.
 #pragma once
 
 #include <cinderfront/controller.h>
--- a/src/agent/feed_client.cpp
+++ b/src/agent/feed_client.cpp
@@ -16,8 +16,8 @@
 
 }  // namespace
 
-FeedClient::FeedClient(net::Loop& loop, net::BufferPool& pool, const net::Address& feed, const Profile& profile,
-                       std::uint64_t last, Told told)
+FeedClient::FeedClient(net::Loop& loop, net::BufferPool& pool, const net::Address& feed,
+                       const Profile& profile, std::uint64_t last, Told told)
     : loop_(loop),
       pool_(pool),
       feed_(feed),
@@ -68,7 +68,8 @@
         if (number && *number > static_cast<double>(last_)) last_ = static_cast<std::uint64_t>(*number);
         return;
     }
-    for (const std::string& problem : change.unreadable) log_line("feed: a member is passed over: " + problem);
+    for (const std::string& problem : change.unreadable)
+        log_line("feed: a member is passed over: " + problem);
     if (change.number <= last_ && !change.complete) return;  // told before
     last_ = std::max(last_, change.number);
     told_(change);
--- a/src/agent/seam.h
+++ b/src/agent/seam.h
@@ -16,9 +16,9 @@
 
 // A set-up as a viewer asks for it.
 struct SetUp {
-    cinderfront::Request request;         // its times are those of the Unix clock
-    std::string class_name, title;        // as they came: they go on unchanged
-    std::string description;              // opaque
+    cinderfront::Request request;           // its times are those of the Unix clock
+    std::string class_name, title;          // as they came: they go on unchanged
+    std::string description;                // opaque
     std::optional<std::string> playing_at;  // a session of an earlier life, and the server where it plays
 };
 
@@ -75,8 +75,10 @@
 class ServerEvents {
 public:
     virtual void started(SessionId id, const std::string& description) = 0;
-    virtual void attempt_ended(SessionId id, cinderfront::Ending how, const cinderfront::LoadReport& load) = 0;
-    virtual void session_ended(SessionId id, cinderfront::Ending how, const cinderfront::LoadReport& load) = 0;
+    virtual void attempt_ended(SessionId id, cinderfront::Ending how,
+                               const cinderfront::LoadReport& load) = 0;
+    virtual void session_ended(SessionId id, cinderfront::Ending how,
+                               const cinderfront::LoadReport& load) = 0;
     virtual void noted(SessionId id, cinderfront::NoteKind kind, double value) = 0;
     virtual void probed(ServerNumber server, cinderfront::Ending how, double latency,
                         const cinderfront::LoadReport& load) = 0;
--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -124,10 +124,10 @@
     void ended(Connection&, Connection::End why) override { all_.link_ended(*this, why); }
 
     const ServerNumber server;
-    std::deque<SessionId> queue;    // set-ups not yet written
-    std::set<SessionId> sessions;   // set-ups and sessions that were set up here
-    double used;                    // last traffic
-    bool leaving = false;           // being closed from here
+    std::deque<SessionId> queue;   // set-ups not yet written
+    std::set<SessionId> sessions;  // set-ups and sessions that were set up here
+    double used;                   // last traffic
+    bool leaving = false;          // being closed from here
 
 private:
     ServerLinks& all_;
@@ -155,7 +155,8 @@
 ServerLinks::Link* ServerLinks::open_link(ServerNumber number) {
     const KnownServer* known = directory_.find(number);
     Server& at = server(number);
-    if (known == nullptr || at.links.size() >= links_per_server || links_ >= limits_.connections) return nullptr;
+    if (known == nullptr || at.links.size() >= links_per_server || links_ >= limits_.connections)
+        return nullptr;
     at.links.push_back(std::make_shared<Link>(*this, number, known->address));
     ++links_;
     watch(number);
--- a/src/agent/server_links.h
+++ b/src/agent/server_links.h
@@ -28,8 +28,8 @@
 
 class ServerLinks : public ServerPort {
 public:
-    ServerLinks(net::Loop& loop, net::BufferPool& pool, ServerEvents& events, const ServerDirectory& directory,
-                const LinkLimits& limits);
+    ServerLinks(net::Loop& loop, net::BufferPool& pool, ServerEvents& events,
+                const ServerDirectory& directory, const LinkLimits& limits);
     ~ServerLinks();
 
     void listed();  // the directory has changed
--- a/src/agent/session_table.cpp
+++ b/src/agent/session_table.cpp
@@ -139,7 +139,8 @@
     drop_deadline(session->cap);
     set_phase(*session, Phase::Standing);
     viewers_->answered(id, description);
-    tell(cinderfront::Started{id, session->server, session->attempts - 1, net::unix_now() - session->sent_at});
+    tell(
+        cinderfront::Started{id, session->server, session->attempts - 1, net::unix_now() - session->sent_at});
 }
 
 void SessionTable::attempt_ended(SessionId id, Ending how, const LoadReport& load) {
@@ -174,8 +175,13 @@
     session->out = false;
     if (session->phase == Phase::Standing) set_phase(*session, Phase::Answered);
     session->may_have_run = session->may_have_run || !proves_unrun(how);
-    cinderfront::Outcome outcome{id, session->attempts - 1, session->server, how,
-                                 net::unix_now() - session->sent_at, session->phase == Phase::Answered, load};
+    cinderfront::Outcome outcome{id,
+                                 session->attempts - 1,
+                                 session->server,
+                                 how,
+                                 net::unix_now() - session->sent_at,
+                                 session->phase == Phase::Answered,
+                                 load};
     drop_if_done(id);
     tell(outcome);
 }
@@ -203,8 +209,8 @@
     const double not_after = session->asked.request.not_after;
     const std::uint32_t attempt = session->attempts++;
     const auto unused = [&] {
-        tell(cinderfront::Outcome{action.id, attempt, action.server, Ending::Unused, 0,
-                                  session->phase == Phase::Answered, {}});
+        tell(cinderfront::Outcome{
+            action.id, attempt, action.server, Ending::Unused, 0, session->phase == Phase::Answered, {}});
     };
     const KnownServer* server = directory_.find(action.server);
     const bool over_limit = settings_.try_limit > 0 && attempt >= settings_.try_limit;
--- a/src/agent/session_table.h
+++ b/src/agent/session_table.h
@@ -1,5 +1,6 @@
-// The sessions of this agent. Turns what both sides report into events of the decision module, and its actions
-// into calls of both sides. Sees to it that every set-up gets one final answer and every attempt one outcome.
+// The sessions of this agent. Turns what both sides report into events of the decision module, and its
+// actions into calls of both sides. Sees to it that every set-up gets one final answer and every attempt one
+// outcome.
 #pragma once
 
 #include <cinderfront/controller.h>
--- a/src/agent/settings.cpp
+++ b/src/agent/settings.cpp
@@ -152,7 +152,10 @@
             return;
         }
         std::string joined;
-        for (const auto& item : value) joined += (joined.empty() ? "" : ",") + scalar(item);
+        for (const auto& item : value) {
+            if (!joined.empty()) joined.push_back(',');
+            joined.append(scalar(item));
+        }
         into[path] = joined;
     } else if (!value.is_null()) {
         into[path] = scalar(value);
--- a/src/agent/viewer_side.cpp
+++ b/src/agent/viewer_side.cpp
@@ -133,8 +133,8 @@
     }
 }
 
-// Keeps the viewers' part of the descriptors: at the bound, the connection that rested longest and on which no
-// set-up is open is closed for a new one.
+// Keeps the viewers' part of the descriptors: at the bound, the connection that rested longest and on which
+// no set-up is open is closed for a new one.
 bool ViewerSide::make_room() {
     if (peers_.size() < most_) return true;
     Peer* oldest = nullptr;
--- a/src/codec/feed_codec.cpp
+++ b/src/codec/feed_codec.cpp
@@ -73,7 +73,8 @@
     switch (phase_) {
         case Phase::Status:
             if (!line(bytes, used)) return used;
-            if (!line_.starts_with("HTTP/1.") || (line_ + " ").find(" 200 ") != std::string_view("HTTP/1.x").size()) {
+            if (!line_.starts_with("HTTP/1.") ||
+                (line_ + " ").find(" 200 ") != std::string_view("HTTP/1.x").size()) {
                 malformed("the feed answers '" + line_.substr(0, 40) + "'");
             }
             phase_ = Phase::Headers;
@@ -108,7 +109,8 @@
             break;
         case Phase::Chunk:
         case Phase::Body:
-            used = static_cast<std::size_t>(std::min<std::uint64_t>(left_.value_or(bytes.size()), bytes.size()));
+            used =
+                static_cast<std::size_t>(std::min<std::uint64_t>(left_.value_or(bytes.size()), bytes.size()));
             body(bytes.substr(0, used), events);
             if (left_) *left_ -= used;
             if (left_ == 0) phase_ = phase_ == Phase::Chunk ? Phase::ChunkEnd : Phase::Complete;
--- a/src/codec/feed_codec.h
+++ b/src/codec/feed_codec.h
@@ -31,8 +31,8 @@
     void event_line(std::vector<FeedEvent>& events);
 
     Phase phase_ = Phase::Status;
-    std::string line_;         // of the head, as far as it has come
-    std::string event_line_;   // of the body
+    std::string line_;           // of the head, as far as it has come
+    std::string event_line_;     // of the body
     bool after_return_ = false;  // a line feed next belongs to the line end before it
     bool chunked_ = false;
     std::optional<std::uint64_t> left_;  // of the body or of the chunk
--- a/src/codec/message.cpp
+++ b/src/codec/message.cpp
@@ -25,7 +25,8 @@
 std::optional<double> parse_number(std::string_view text) {
     double value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc{} || end != text.data() + text.size() || !std::isfinite(value)) return std::nullopt;
+    if (error != std::errc{} || end != text.data() + text.size() || !std::isfinite(value))
+        return std::nullopt;
     return value;
 }
 
--- a/src/codec/server_codec.h
+++ b/src/codec/server_codec.h
@@ -7,7 +7,19 @@
 
 namespace jasperspread::codec {
 
-enum class ServerVerb { Start, Pending, Started, Finish, Finished, Echo, Echoed, Notice, Move, Rate, Unknown };
+enum class ServerVerb {
+    Start,
+    Pending,
+    Started,
+    Finish,
+    Finished,
+    Echo,
+    Echoed,
+    Notice,
+    Move,
+    Rate,
+    Unknown
+};
 
 struct ServerMessage {
     ServerVerb verb = ServerVerb::Unknown;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -28,8 +28,8 @@
 
 // After SIGTERM new set-ups keep coming for 0.6 s or so, and none may be lost: no end before this, s.
 constexpr double stay_least = 0.9;
-// Sessions that play are worth staying for. SIGKILL comes no sooner than the longest deadline, 3 s at most, and
-// 0.7 s after SIGTERM: so long after that deadline the program goes by itself, s.
+// Sessions that play are worth staying for. SIGKILL comes no sooner than the longest deadline, 3 s at most,
+// and 0.7 s after SIGTERM: so long after that deadline the program goes by itself, s.
 constexpr double longest_counted = 3.0, stay_over_deadline = 0.4;
 
 // SIGTERM and SIGINT as a descriptor of the loop.
@@ -40,7 +40,8 @@
         sigemptyset(&set);
         sigaddset(&set, SIGTERM);
         sigaddset(&set, SIGINT);
-        if (sigprocmask(SIG_BLOCK, &set, nullptr) != 0) throw std::system_error(errno, std::generic_category());
+        if (sigprocmask(SIG_BLOCK, &set, nullptr) != 0)
+            throw std::system_error(errno, std::generic_category());
         fd_ = net::Fd(signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
         if (!fd_) throw std::system_error(errno, std::generic_category(), "signalfd");
         loop_.watch(fd_.get(), 1, *this);
@@ -61,7 +62,8 @@
 
 agent::Config load_config(int argc, char** argv) {
     const char* path = argc > 1 ? argv[1] : std::getenv("RELAY_CONFIG");
-    if (path == nullptr) throw agent::SettingsError("expected RELAY_CONFIG or an argument to name the configuration");
+    if (path == nullptr)
+        throw agent::SettingsError("expected RELAY_CONFIG or an argument to name the configuration");
     std::ifstream file(path, std::ios::binary);
     if (!file) throw agent::SettingsError(std::string("expected a readable configuration at ") + path);
     const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -13,21 +13,21 @@
 class Connection : private Ready {
 public:
     enum class End {
-        Refused,     // never came up, and the peer said so
+        Refused,      // never came up, and the peer said so
         Unavailable,  // never came up: no descriptor or port was left here
-        TimedOut,    // never came up in time
-        PeerClosed,  // the peer has closed it in order
-        Reset,       // broken
-        Overflow,    // the peer does not read, and the output bound is reached
-        Stalled,     // the peer has read nothing for too long
-        Finished,    // closed from here by finish()
+        TimedOut,     // never came up in time
+        PeerClosed,   // the peer has closed it in order
+        Reset,        // broken
+        Overflow,     // the peer does not read, and the output bound is reached
+        Stalled,      // the peer has read nothing for too long
+        Finished,     // closed from here by finish()
     };
     class Owner {
     public:
         virtual void opened(Connection&) {}
         // Takes whole messages off the front and tells how many bytes they had.
         virtual std::size_t received(Connection&, std::string_view bytes) = 0;
-        virtual void writable(Connection&) {}  // output that had to wait is all written
+        virtual void writable(Connection&) {}      // output that had to wait is all written
         virtual void ended(Connection&, End) = 0;  // the last callback
 
     protected:
@@ -45,8 +45,8 @@
     void send(std::string_view bytes);
     // Sends only if the first byte can go out now; false: nothing was sent, writable() will tell.
     bool offer(std::string_view bytes);
-    // Writes what is kept, tells the peer, and ends once the peer has closed too, or after a moment. Until then
-    // the owner still gets what the peer says.
+    // Writes what is kept, tells the peer, and ends once the peer has closed too, or after a moment. Until
+    // then the owner still gets what the peer says.
     void finish();
     void close();  // at once and without a callback
 
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -41,7 +41,8 @@
         }
         if (errno == EINTR || errno == ECONNABORTED) continue;
         if (errno == EAGAIN) return;
-        // Guards against EMFILE, ENFILE and the like: the socket stays readable and would take the whole core.
+        // Guards against EMFILE, ENFILE and the like: the socket stays readable and would take the whole
+        // core.
         callbacks_.starved();
         break;
     }
--- a/tests/scenarios/codec_test.cpp
+++ b/tests/scenarios/codec_test.cpp
@@ -12,7 +12,8 @@
         viewer-codec send raw=00170c0000000000000007630001785c0001105e0003ff000a
         viewer-codec expect release 7 cause=16 body=hex:ff000a
         viewer-codec expect nothing
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("a viewers' message that can't be is told by its kind") {
@@ -27,14 +28,16 @@
         viewer-codec expect malformed          # a cause of two bytes
         viewer-codec send raw=000d01000000000000000742000178
         viewer-codec expect malformed          # a wait that is no number
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("the largest viewers' message passes") {
     CHECK_EQ(play(R"(
         viewer-codec send setup 9 size=16200
         viewer-codec expect setup 9 class=free
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("a server's line is read with odd bytes in its description") {
@@ -45,7 +48,8 @@
         server-codec expect STARTED 5 blob=hex:ff0022c3a95c80
         server-codec send text={"verb":"NOVEL","later":{}}
         server-codec expect ?
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("a server's line that can't be is told by its kind") {
@@ -60,8 +64,10 @@
         server-codec expect malformed
         server-codec send text=[]
         server-codec expect malformed
-    )"), "");
-    CHECK_EQ(play("server-codec send raw=" + std::string(2 * 16384, '2') + "\nserver-codec expect oversized"), "");
+    )"),
+             "");
+    CHECK_EQ(play("server-codec send raw=" + std::string(2 * 16384, '2') + "\nserver-codec expect oversized"),
+             "");
 }
 
 TEST_CASE("the feed's response is read with a body of any form") {
@@ -73,17 +79,23 @@
         }
         return out;
     };
-    CHECK_EQ(play("feed-codec send " + hex("HTTP/1.1 200 OK\r\nX: y\r\n\r\n: hi\n\nid: 4\r\ndata: a\r\ndata:b\r\n\r\n"
-                                           "id: 5\ndata: c\r\rdata: d\n") +
+    CHECK_EQ(play("feed-codec send " +
+                  hex("HTTP/1.1 200 OK\r\nX: y\r\n\r\n: hi\n\nid: 4\r\ndata: a\r\ndata:b\r\n\r\n"
+                      "id: 5\ndata: c\r\rdata: d\n") +
                   "\nfeed-codec expect event id=4 data=hex:610a62"
-                  "\nfeed-codec expect event id=5 data=c\nfeed-codec expect nothing"), "");
-    CHECK_EQ(play("feed-codec send " + hex("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=y\r\ndata:\r\n"
-                                           "4\r\n c\n\n\r\n0\r\n\r\n") +
-                  "\nfeed-codec expect event data=c\nfeed-codec expect complete"), "");
+                  "\nfeed-codec expect event id=5 data=c\nfeed-codec expect nothing"),
+             "");
+    CHECK_EQ(play("feed-codec send " +
+                  hex("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=y\r\ndata:\r\n"
+                      "4\r\n c\n\n\r\n0\r\n\r\n") +
+                  "\nfeed-codec expect event data=c\nfeed-codec expect complete"),
+             "");
     CHECK_EQ(play("feed-codec send " + hex("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ndata: c\n\n") +
-                  "\nfeed-codec expect event data=c\nfeed-codec expect complete"), "");
+                  "\nfeed-codec expect event data=c\nfeed-codec expect complete"),
+             "");
     CHECK_EQ(play("feed-codec send " + hex("HTTP/1.1 503 No\r\n") + "\nfeed-codec expect malformed"), "");
     CHECK_EQ(play("feed-codec send " + hex("HTTP\n") + "\nfeed-codec expect malformed"), "");
     CHECK_EQ(play("feed-codec send " + hex("HTTP/1.1 200 OK\r\nX: " + std::string(20000, 'y')) +
-                  "\nfeed-codec expect oversized"), "");
+                  "\nfeed-codec expect oversized"),
+             "");
 }
--- a/tests/scenarios/program_test.cpp
+++ b/tests/scenarios/program_test.cpp
@@ -21,7 +21,8 @@
         v1 expect release 7 cause=16
         s1 send FINISH 7 rc=16                 # a repeated release counts once
         v1 expect nothing 0.2
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("a short link has its sessions lowered by a message to the server") {
@@ -35,7 +36,8 @@
         wait 0.3                               # later notes speak of told_late ago
         s1 send NOTICE 7 note=local value=1.9
         s1 expect RATE 7 rung=0
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("each ending before the answer leads to its own answer") {
@@ -53,7 +55,8 @@
         s1 expect START 3
         s1 send FINISH 3 rc=34
         v1 expect release 3 cause=42           # it never ran, and no holder is left: refused
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("a set-up that a server turns away goes to another, one at a time, up to the limit of tries") {
@@ -70,7 +73,8 @@
         s1 expect nothing 0.2
         # s2 does not hold the title
         s2 expect nothing 0.1
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("a viewer that gives up gets no answer, and an answer that crosses is released") {
@@ -83,7 +87,8 @@
         s1 send STARTED 5 blob=late
         s1 expect FINISH 5 rc=16
         v1 expect nothing 0.2
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("a viewers' connection that closes gives its open set-ups up") {
@@ -93,7 +98,8 @@
         s1 expect START 5
         v1 reset
         s1 expect FINISH 5 rc=16
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("a server that does not answer costs a paid class a failure just before the viewer leaves") {
@@ -103,7 +109,8 @@
         s1 expect START 5
         s1 expect FINISH 5 rc=16
         v1 expect release 5 cause=41
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("a set-up is not written to a server that drains while it waits for a connection") {
@@ -116,7 +123,8 @@
         v1 send setup 5
         v1 expect release 5 cause=42
         s1 expect nothing 0.2
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("a refused connection proves that nothing ran") {
@@ -125,7 +133,8 @@
         s1 stop
         v1 send setup 5 class=paid
         v1 expect release 5 cause=42
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("a session that stands belongs to no connection") {
@@ -147,7 +156,8 @@
         s1 close                               # the program comes back while a session stands there
         s1 send FINISH 6 rc=16
         v2 expect release 6 cause=16
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("an end that no viewer could hear is told on the next connection") {
@@ -163,7 +173,8 @@
         wait 0.2
         v2 send test 1
         v2 expect release 5 cause=41
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("a release that crosses the close of its connection is said again on another") {
@@ -179,7 +190,8 @@
         wait 0.2
         v1 close                               # without a word that it has heard
         v2 expect release 5 cause=16
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("a session ended by its viewer is owed no release") {
@@ -191,7 +203,8 @@
         v1 expect answer 5
         s1 send FINISH 5 rc=31
         v1 expect nothing 0.3
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("a process that dies takes its sessions along") {
@@ -203,7 +216,8 @@
         v1 expect answer 5
         s1 stop
         v1 expect release 5 cause=41
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("sessions of an earlier life are taken over and kept in touch with") {
@@ -218,7 +232,8 @@
         s1 send FINISH 5 rc=16
         v1 expect release 5 cause=16
         v1 expect nothing 0.1
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("the feed is resumed after it breaks off, and what it tells is followed") {
@@ -235,7 +250,8 @@
         wait 0.3
         v1 send setup 6 home=0 copies=2
         s1 expect START 6
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("an event of the feed that can't be read is passed over") {
@@ -247,7 +263,8 @@
         wait 0.2
         v1 send setup 5 home=0 copies=2
         s1 expect START 5
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("a feed that falls silent is asked again") {
@@ -256,7 +273,8 @@
         feed expect after=1
         feed send comment
         feed expect after=1                    # without a close from the feed
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("a message that can't be read ends its connection alone, its open set-ups failed") {
@@ -276,7 +294,8 @@
         v2 expect release 6 cause=42
         v2 send test 3
         v2 expect result 3
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("a server's line that can't be read ends its connection, its set-ups broken") {
@@ -288,7 +307,8 @@
         v1 expect release 5 cause=41
         v1 send setup 6 class=paid
         v1 expect release 6                    # the server is left alone for a moment
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("a description that no line can hold is refused, not sent") {
@@ -297,7 +317,8 @@
         v1 send setup 5 class=paid size=16000
         v1 expect release 5 cause=42
         s1 expect nothing 0.2
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("a viewer that never reads is cut off") {
@@ -306,7 +327,8 @@
         v1 flood
         v2 send test 2
         v2 expect result 2
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("out of descriptors the program goes on, and idle viewers make room") {
@@ -329,7 +351,8 @@
         s1 send FINISH 5 rc=47
         v1 expect release 5
         s1 expect closed
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("asked to end, the program still takes and answers, then exits in order") {
@@ -350,7 +373,8 @@
         v1 expect release 5
         v2 expect release 6
         agent expect exit=0
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("a bad configuration is told in one line that names the field") {
--- a/tests/scenarios/scenario.cpp
+++ b/tests/scenarios/scenario.cpp
@@ -68,10 +68,10 @@
 // ---- Messages as words, both ways ----
 
 const std::map<std::string, codec::ViewerType> viewer_types = {
-    {"setup", codec::ViewerType::SetUp},       {"progress", codec::ViewerType::Progress},
-    {"answer", codec::ViewerType::Answer},     {"release", codec::ViewerType::Release},
+    {"setup", codec::ViewerType::SetUp},        {"progress", codec::ViewerType::Progress},
+    {"answer", codec::ViewerType::Answer},      {"release", codec::ViewerType::Release},
     {"heard", codec::ViewerType::ReleaseHeard}, {"move", codec::ViewerType::Move},
-    {"test", codec::ViewerType::Test},         {"result", codec::ViewerType::TestResult}};
+    {"test", codec::ViewerType::Test},          {"result", codec::ViewerType::TestResult}};
 
 const std::map<std::string, codec::ServerVerb> server_verbs = {
     {"START", codec::ServerVerb::Start},       {"PENDING", codec::ServerVerb::Pending},
@@ -124,13 +124,20 @@
         m.cause = 0;
     }
     for (const auto& [name, value] : fields_of(words, 2)) {
-        if (name == "class") m.class_name = value;
-        else if (name == "wait") m.wait_ms = std::stod(value);
-        else if (name == "hint") m.hint_ms = std::stod(value);
-        else if (name == "cause") m.cause = static_cast<std::uint8_t>(std::stoi(value));
-        else if (name == "body") m.description = value;
-        else if (name == "size") m.description = std::string(std::stoul(value), '"');
-        else m.figures[name] = value;
+        if (name == "class")
+            m.class_name = value;
+        else if (name == "wait")
+            m.wait_ms = std::stod(value);
+        else if (name == "hint")
+            m.hint_ms = std::stod(value);
+        else if (name == "cause")
+            m.cause = static_cast<std::uint8_t>(std::stoi(value));
+        else if (name == "body")
+            m.description = value;
+        else if (name == "size")
+            m.description = std::string(std::stoul(value), '"');
+        else
+            m.figures[name] = value;
     }
     return encode(m);
 }
@@ -142,9 +149,12 @@
     m.verb = server_verbs.at(words[0]);
     m.session = std::stoull(words.at(1));
     for (const auto& [name, value] : fields_of(words, 2)) {
-        if (name == "rc") m.cause = std::stoi(value);
-        else if (name == "blob") m.description = value;
-        else m.fields[name] = value;
+        if (name == "rc")
+            m.cause = std::stoi(value);
+        else if (name == "blob")
+            m.description = value;
+        else
+            m.fields[name] = value;
     }
     return encode(m);
 }
@@ -408,12 +418,14 @@
         if (verb == "reset") return wire.reset();
         if (verb == "flood") return flood(wire);
         if (verb == "send") return wire.write(viewer_bytes(rest));
-        expect(rest, [&](double by, auto found) {
-            while (!found(wire)) {
-                if (!wire.read(by)) return false;
-            }
-            return true;
-        }, codec::decode_viewer, {"heard", "progress"});
+        expect(rest,
+               [&](double by, auto found) {
+                   while (!found(wire)) {
+                       if (!wire.read(by)) return false;
+                   }
+                   return true;
+               },
+               codec::decode_viewer, {"heard", "progress"});
     }
 
     // Asks on and on without reading an answer, until the program has had enough.
@@ -451,7 +463,8 @@
         noise.erase(rest.at(0));
         Words got;
         if (rest[0] == "closed") {
-            if (!wait(net::unix_now() + patience_s, [](Wire& w) { return w.ended; })) throw Wrong("it is open");
+            if (!wait(net::unix_now() + patience_s, [](Wire& w) { return w.ended; }))
+                throw Wrong("it is open");
             return;
         }
         const auto found = [&](Wire& wire) {
@@ -523,7 +536,8 @@
             return true;
         } catch (const codec::CodecError& error) {
             pipe_.in.clear();
-            decoded_.push_back({error.kind() == codec::CodecError::Kind::Malformed ? "malformed" : "oversized"});
+            decoded_.push_back(
+                {error.kind() == codec::CodecError::Kind::Malformed ? "malformed" : "oversized"});
             return false;
         }
     }
--- a/tests/scenarios/scenario.h
+++ b/tests/scenarios/scenario.h
@@ -1,6 +1,7 @@
 // One small language for tests. Each line names a party, what it does, and with what; # begins a comment.
 //
-//   agent send start [key=value ...]     writes a configuration (limits.sockets, feed=off, drop=FIELD, ...) and
+//   agent send start [key=value ...]     writes a configuration (limits.sockets, feed=off, drop=FIELD, ...)
+//   and
 //                                        starts the program
 //   agent send term                      SIGTERM
 //   agent expect exit=N | log=TEXT       its end, or a line of its log that holds TEXT
