Report an attempt whose set-up never went out as unused, with scenarios of silent hosts

By review against PROTOCOL: SessionTable::withdraw reported a set-up that still waited for its connection as expired or revoked, which for a paid class reads as 'may have run'. give_up() now tells whether a byte went out.

--- a/src/agent/seam.h
+++ b/src/agent/seam.h
@@ -50,7 +50,8 @@
 class ServerPort {
 public:
     virtual void set_up(const Attempt& attempt) = 0;  // exactly one started() or attempt_ended() follows
-    virtual void give_up(SessionId id) = 0;           // ... unless it is given up before
+    // ... unless it is given up before. Tells whether anything of it went out, so that it may have run.
+    virtual bool give_up(SessionId id) = 0;
     virtual void set_rung(SessionId id, int rung) = 0;
     virtual void end_session(SessionId id) = 0;
     virtual void adopt(SessionId id, ServerNumber server) = 0;  // a session that plays there already
--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -370,14 +370,14 @@
     entries_.erase(it);
 }
 
-void ServerLinks::give_up(SessionId id) {
+bool ServerLinks::give_up(SessionId id) {
     const auto it = entries_.find(id);
-    if (it == entries_.end()) return;
+    if (it == entries_.end()) return false;
     const Entry entry = it->second;
     erase(id);
-    if (entry.state == State::Written) {
-        speak(entry.attempt.server, entry.link, word(ServerVerb::Finish, id, cause_ok));
-    }
+    if (entry.state == State::Queued) return false;
+    speak(entry.attempt.server, entry.link, word(ServerVerb::Finish, id, cause_ok));
+    return true;
 }
 
 void ServerLinks::set_rung(SessionId id, int rung) {
--- a/src/agent/server_links.h
+++ b/src/agent/server_links.h
@@ -35,7 +35,7 @@
     void listed();  // the directory has changed
 
     void set_up(const Attempt& attempt) override;
-    void give_up(SessionId id) override;
+    bool give_up(SessionId id) override;
     void set_rung(SessionId id, int rung) override;
     void end_session(SessionId id) override;
     void adopt(SessionId id, ServerNumber server) override;
--- a/src/agent/session_table.cpp
+++ b/src/agent/session_table.cpp
@@ -189,8 +189,8 @@
 // Takes the attempt back: the server is told, and the module.
 void SessionTable::withdraw(SessionId id, Session& session, Ending how) {
     if (session.phase == Phase::Standing) return;
-    servers_->give_up(id);
-    end_attempt(id, how, {});
+    const bool sent = servers_->give_up(id);
+    end_attempt(id, sent ? how : Ending::Unused, {});
 }
 
 void SessionTable::drop_if_done(SessionId id) {
--- a/tests/scenarios/program_test.cpp
+++ b/tests/scenarios/program_test.cpp
@@ -127,6 +127,79 @@
              "");
 }
 
+TEST_CASE("a set-up that waits for its connection is not written once its server drains") {
+    CHECK_EQ(play(R"(
+        agent send start connect=10
+        feed expect after=1
+        s1 deaf
+        v1 send setup 5 class=paid
+        wait 0.2
+        feed send n=2 s1=draining
+        v1 expect release 5 cause=42
+        s1 hear
+        s1 expect nothing 1.5                  # the connection comes up, and nothing is on it
+    )"), "");
+}
+
+TEST_CASE("a set-up that waits for its connection is not written once its viewer has given up") {
+    CHECK_EQ(play(R"(
+        agent send start connect=10
+        s1 deaf
+        v1 send setup 5 class=paid
+        wait 0.2
+        v1 send release 5 cause=16
+        v1 expect heard 5
+        s1 hear
+        s1 expect nothing 1.5
+    )"), "");
+}
+
+TEST_CASE("a set-up that waits for its connection past its time is not written") {
+    CHECK_EQ(play(R"(
+        agent send start connect=10
+        s1 deaf
+        v1 send setup 5 class=paid wait=400
+        v1 expect release 5
+        s1 hear
+        s1 expect nothing 1.5
+    )"),
+             "");
+}
+
+TEST_CASE("a host that no connection reaches proves that nothing ran") {
+    CHECK_EQ(play(R"(
+        agent send start connect=0.25
+        s1 deaf
+        v1 send setup 5 class=paid
+        v1 expect release 5 cause=42
+    )"), "");
+}
+
+TEST_CASE("a machine that vanishes takes its sessions along") {
+    CHECK_EQ(play(R"(
+        agent send start told=0.3
+        v1 send setup 5
+        s1 expect START 5
+        s1 send STARTED 5
+        v1 expect answer 5
+        s1 deaf                                # the open connection stays open and silent
+        v1 expect release 5 cause=41
+    )"), "");
+}
+
+TEST_CASE("a frozen process keeps its sessions") {
+    CHECK_EQ(play(R"(
+        agent send start told=0.3
+        v1 send setup 5
+        s1 expect START 5
+        s1 send STARTED 5
+        v1 expect answer 5
+        v1 expect nothing 3                    # new connections still come up
+        s1 send FINISH 5 rc=16
+        v1 expect release 5 cause=16
+    )"), "");
+}
+
 TEST_CASE("a refused connection proves that nothing ran") {
     CHECK_EQ(play(R"(
         agent send start
--- a/tests/scenarios/scenario.cpp
+++ b/tests/scenarios/scenario.cpp
@@ -202,6 +202,7 @@
     net::Fd fd{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)};
     net::Address address = *net::parse_address("127.0.0.1:0");
     std::vector<std::unique_ptr<Wire>> wires;
+    std::vector<net::Fd> fillers;
     Wire* last = nullptr;
 
     Listening() {
@@ -210,6 +211,19 @@
         }
         address = bound(fd.get());
     }
+    // A host that no new connection reaches: the backlog is full, and the kernel drops what comes.
+    void go_deaf() {
+        ::listen(fd.get(), 0);
+        constexpr int more_than_fit = 3;
+        for (int i = 0; i < more_than_fit; ++i) {
+            fillers.emplace_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+            ::connect(fillers.back().get(), address.raw(), sizeof address.in);
+        }
+    }
+    void hear_again() {
+        fillers.clear();
+        ::listen(fd.get(), 64);
+    }
     // Takes what comes on any connection until `done` says that it has found what it waits for.
     template <typename Done>
     bool wait(double by, Done done) {
@@ -351,6 +365,8 @@
         for (const auto& [key, value] : keys) {
             if (key == "sockets") json["limits"]["sockets"] = std::stoi(value);
             if (key == "idle") json["settings"]["limits"]["conn_idle"] = std::stod(value);
+            if (key == "connect") json["settings"]["limits"]["connect_timeout"] = std::stod(value);
+            if (key == "told") json["settings"]["family_info"]["told_every"] = std::stod(value);
             if (key == "drop") json.erase(value);
             if (key == "listen") json["listen"] = value;
         }
@@ -452,6 +468,8 @@
             server.drop(true);
             return server.fd.reset();
         }
+        if (verb == "deaf") return server.go_deaf();
+        if (verb == "hear") return server.hear_again();
         if (verb == "send") return server.talking().write(server_bytes(rest));
         expect(rest, [&](double by, auto found) { return server.wait(by, found); }, codec::decode_server,
                {"FINISHED"});
--- a/tests/scenarios/scenario.h
+++ b/tests/scenarios/scenario.h
@@ -10,7 +10,8 @@
 //   s1 expect START 7 rung=1             the same for a server, whose messages may come on any connection
 //   s1 send STARTED 7 blob=there
 //   feed expect after=3, feed send n=4 s1=draining, feed send comment
-//   X expect nothing 0.3, X expect closed, X close, X reset, X flood
+//   X expect nothing 0.3, X expect closed, X close, X reset, v1 flood
+//   s1 deaf, s1 hear                     new connections to it stay silent; come up again
 //   wait 0.2
 //   viewer-codec, server-codec, feed-codec: `send` bytes in single steps, `expect` what they mean
 //
