End standing sessions towards both sides when the program goes; back off from a flapping feed

Seen: after SIGTERM the program left with sessions standing: their servers were never told, and a close with unread input would have reset the connection under the last answers. It now releases to viewers and servers, and closes the viewers' connections in order. Also: the pause before asking the feed again grew only while no byte came; it now starts anew only after a connection that held for 2 s.

--- a/src/agent/config.cpp
+++ b/src/agent/config.cpp
@@ -42,7 +42,7 @@
 }  // namespace
 
 Config read_config(std::string_view text) {
-    constexpr std::size_t usual_descriptors = 1024, usual_memory_mb = 192, fewest_descriptors = 32;
+    constexpr std::size_t usual_descriptors = 1024, fewest_descriptors = 32;
     const Json json = Json::parse(text, nullptr, false);
     if (!json.is_object()) throw SettingsError("expected the configuration to be one JSON object");
     Config config;
@@ -54,7 +54,6 @@
     if (!number) bad("seed (up to 16 hex digits)", seed);
     config.seed = *number;
     config.descriptors = limit_at(json, "sockets", usual_descriptors);
-    config.memory_mb = limit_at(json, "memory_mb", usual_memory_mb);
     if (config.descriptors < fewest_descriptors) {
         bad("limits.sockets (32 or more)", std::to_string(config.descriptors));
     }
--- a/src/agent/config.h
+++ b/src/agent/config.h
@@ -15,7 +15,7 @@
     std::string name;
     net::Address listen, feed;
     std::uint64_t seed = 0;
-    std::size_t descriptors = 0, memory_mb = 0;
+    std::size_t descriptors = 0;
     Profile profile;
     std::uint64_t known_number = 0;  // of the last event under `known`
     ServerDirectory directory;       // as those events leave it
--- a/src/agent/feed_client.cpp
+++ b/src/agent/feed_client.cpp
@@ -12,6 +12,8 @@
 
 // A comment comes each second: so long without a word and the feed is taken for dead, s.
 constexpr double silent_s = 2.5;
+// A connection that held for less counts as another failure: the pauses go on growing, s.
+constexpr double held_s = 2.0;
 constexpr double connect_timeout_s = 0.5, first_pause_s = 0.05, longest_pause_s = 1.0;
 
 }  // namespace
@@ -31,6 +33,7 @@
 }
 
 void FeedClient::connect() {
+    connected_ = 0;
     parser_.emplace();
     connection_ = std::make_shared<net::Connection>(loop_, pool_, *this, feed_, connect_timeout_s);
 }
@@ -40,6 +43,7 @@
 }
 
 void FeedClient::opened(net::Connection& connection) {
+    connected_ = net::unix_now();
     connection.send(codec::feed_request(net::to_text(feed_), std::to_string(last_)));
     wait_for_words();
 }
@@ -48,7 +52,6 @@
     wait_for_words();
     try {
         for (const auto& event : parser_->take(bytes)) take(event);
-        pause_ = first_pause_s;
         if (parser_->complete()) lost("the response has ended");
     } catch (const std::runtime_error& error) {  // unreadable: asked again from the last event that was read
         lost(error.what());
@@ -84,6 +87,7 @@
     silence_.cancel();
     connection_->close();
     loop_.retire(std::move(connection_));
+    if (connected_ > 0 && net::unix_now() > connected_ + held_s) pause_ = first_pause_s;
     again_.set(net::unix_now() + pause_, [this] { connect(); });
     pause_ = std::min(pause_ * 2, longest_pause_s);
 }
--- a/src/agent/feed_client.h
+++ b/src/agent/feed_client.h
@@ -40,7 +40,7 @@
     std::optional<codec::FeedParser> parser_;
     std::shared_ptr<net::Connection> connection_;
     net::Timer silence_, again_;
-    double pause_;
+    double pause_, connected_ = 0;
 };
 
 }  // namespace jasperspread::agent
--- a/src/agent/session_table.cpp
+++ b/src/agent/session_table.cpp
@@ -127,6 +127,20 @@
     drop_if_done(id);
 }
 
+// A session would otherwise play on at its server unheard of, and its viewer would learn late that it must
+// ask another agent.
+void SessionTable::end_all() {
+    std::vector<SessionId> ending;
+    for (const auto& [id, session] : sessions_) {
+        if (session.phase == Phase::Standing) ending.push_back(id);
+    }
+    for (const SessionId id : ending) {
+        viewers_->over(id, SessionEnd::Broken);
+        servers_->end_session(id);
+        end_attempt(id, Ending::Revoked, {});
+    }
+}
+
 // ---- From the servers ----
 
 void SessionTable::started(SessionId id, const std::string& description) {
--- a/src/agent/session_table.h
+++ b/src/agent/session_table.h
@@ -35,6 +35,8 @@
     void probed(ServerNumber server, cinderfront::Ending how, double latency,
                 const cinderfront::LoadReport& load) override;
 
+    // Ends what stands, towards both sides: this agent is about to go.
+    void end_all();
     std::size_t unanswered() const { return unanswered_; }
     std::size_t standing() const { return standing_; }
 
--- a/src/agent/viewer_side.cpp
+++ b/src/agent/viewer_side.cpp
@@ -123,6 +123,10 @@
 
 ViewerSide::~ViewerSide() = default;
 
+void ViewerSide::finish() {
+    for (const auto& [key, peer] : peers_) peer->connection.finish();
+}
+
 void ViewerSide::accepted(net::Fd fd) {
     auto peer = std::make_shared<Peer>(*this, std::move(fd));
     Peer& fresh = *peer;
--- a/src/agent/viewer_side.h
+++ b/src/agent/viewer_side.h
@@ -24,6 +24,7 @@
 
     net::Address address() const { return listener_.address(); }
     std::size_t connections() const { return peers_.size(); }
+    void finish();  // closes all connections in order, once what is kept for them is written
 
     void answered(SessionId id, const std::string& description) override;
     void refused(SessionId id, double stay_away_s) override;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -129,6 +129,12 @@
         loop.turn();
     }
     agent::log_line("ends with " + std::to_string(sessions.standing()) + " sessions standing");
+    sessions.end_all();
+    viewers.finish();
+    constexpr double last_words = 0.2;
+    const double until = net::unix_now() + last_words;
+    wake.set(until, [] {});
+    while (viewers.connections() > 0 && net::unix_now() < until) loop.turn();
 }
 
 }  // namespace
--- a/tests/scenarios/program_test.cpp
+++ b/tests/scenarios/program_test.cpp
@@ -138,7 +138,8 @@
         v1 expect release 5 cause=42
         s1 hear
         s1 expect nothing 1.5                  # the connection comes up, and nothing is on it
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("a set-up that waits for its connection is not written once its viewer has given up") {
@@ -151,7 +152,8 @@
         v1 expect heard 5
         s1 hear
         s1 expect nothing 1.5
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("a set-up that waits for its connection past its time is not written") {
@@ -172,7 +174,8 @@
         s1 deaf
         v1 send setup 5 class=paid
         v1 expect release 5 cause=42
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("a machine that vanishes takes its sessions along") {
@@ -184,7 +187,8 @@
         v1 expect answer 5
         s1 deaf                                # the open connection stays open and silent
         v1 expect release 5 cause=41
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("a frozen process keeps its sessions") {
@@ -197,7 +201,8 @@
         v1 expect nothing 3                    # new connections still come up
         s1 send FINISH 5 rc=16
         v1 expect release 5 cause=16
-    )"), "");
+    )"),
+             "");
 }
 
 TEST_CASE("a refused connection proves that nothing ran") {
@@ -450,6 +455,23 @@
              "");
 }
 
+TEST_CASE("sessions that stand when the program goes are ended towards both sides") {
+    CHECK_EQ(play(R"(
+        agent send start
+        v1 send setup 5
+        s1 expect START 5
+        s1 send STARTED 5
+        v1 expect answer 5
+        agent send term
+        v1 expect nothing 1.5                  # it plays on for a while
+        v1 expect release 5 cause=41
+        s1 expect FINISH 5
+        v1 expect closed
+        agent expect exit=0
+    )"),
+             "");
+}
+
 TEST_CASE("a bad configuration is told in one line that names the field") {
     CHECK_EQ(play("agent send start drop=feed\nagent expect exit=2\nagent expect log=feed"), "");
     CHECK_EQ(play("agent send start listen=nowhere\nagent expect exit=2\nagent expect log=listen"), "");
