Bound the numbers of configuration and feed before they are narrowed

By review: a limit of 1e300 or a cell beyond 32 bits was cast as it came, which is undefined. Both are now told as bad fields.

--- a/src/agent/config.cpp
+++ b/src/agent/config.cpp
@@ -34,9 +34,11 @@
     if (!limits->is_object()) bad("limits (an object)", limits->dump());
     const auto it = limits->find(name);
     if (it == limits->end()) return fallback;
-    if (!it->is_number() || it->get<double>() < 1)
-        bad(std::string("limits.") + name + " (1 or more)", it->dump());
-    return static_cast<std::size_t>(it->get<double>());
+    constexpr double most = 1e9;
+    const double read = it->is_number() ? it->get<double>() : 0;
+    if (!(read >= 1 && read <= most))
+        bad(std::string("limits.") + name + " (a number from 1 on)", it->dump());
+    return static_cast<std::size_t>(read);
 }
 
 }  // namespace
--- a/src/agent/directory.cpp
+++ b/src/agent/directory.cpp
@@ -12,6 +12,8 @@
 using cinderfront::ServerState;
 using Json = nlohmann::json;
 
+constexpr double most_count = 1e9, most_ms = 1e15;
+
 const Json& member(const Json& object, const char* name) {
     const auto it = object.is_object() ? object.find(name) : object.end();
     if (!object.is_object() || it == object.end()) throw SettingsError(std::string("expected ") + name);
@@ -24,10 +26,12 @@
     return value.get<std::string>();
 }
 
-double number(const Json& object, const char* name) {
+double number(const Json& object, const char* name, double most) {
     const Json& value = member(object, name);
-    if (!value.is_number() || value.get<double>() < 0) bad(std::string(name) + " (0 or more)", value.dump());
-    return value.get<double>();
+    const double read = value.is_number() ? value.get<double>() : -1;
+    if (!(read >= 0 && read <= most))
+        bad(std::string(name) + " (a number from 0 on, in bounds)", value.dump());
+    return read;
 }
 
 MemberChange read_member(const Json& json, const Profile& profile) {
@@ -44,9 +48,10 @@
         index_of(profile.zone_names, plain_name(text(json, "locality")), "locality"));
     change.entry.kind =
         static_cast<std::uint32_t>(index_of(profile.kind_names, plain_name(text(json, "flavor")), "flavor"));
-    change.entry.cell = static_cast<std::uint32_t>(number(json, "cell"));
-    change.entry.size = number(json, "size");
-    if (const double since = number(json, "up_since_ms"); since > 0) change.entry.last_start = since / 1000;
+    change.entry.cell = static_cast<std::uint32_t>(number(json, "cell", most_count));
+    change.entry.size = number(json, "size", most_count);
+    if (const double since = number(json, "up_since_ms", most_ms); since > 0)
+        change.entry.last_start = since / 1000;
     return change;
 }
 
