--- a/simhost/wire.cpp
+++ b/simhost/wire.cpp
@@ -3,7 +3,6 @@
 #include <charconv>
 #include <cmath>
 #include <limits>
-#include <map>
 #include <optional>
 #include <utility>
 
@@ -13,7 +12,7 @@
 using jasperspread::agent::bad;
 using jasperspread::agent::choice;
 using jasperspread::agent::finite;
-using jasperspread::agent::from_text;
+using jasperspread::agent::load_field;
 using jasperspread::agent::pairs_from_line;
 using jasperspread::agent::ranged;
 using jasperspread::agent::read_profile;
@@ -214,15 +213,11 @@
 LoadReport parse_report(std::string_view text) {
     LoadReport report;
     if (text == "-") return report;
-    const std::vector<std::pair<std::string_view, std::optional<double> LoadReport::*>> fields = {
-        {"busy_reqs", &LoadReport::busy},       {"pending", &LoadReport::pending},
-        {"cpu_share", &LoadReport::link_share}, {"x0", &LoadReport::link_asked},
-        {"x1", &LoadReport::rack_asked},        {"svc_ms", &LoadReport::setup_ms},
-        {"served_ps", &LoadReport::served_ps},  {"failed_ps", &LoadReport::failed_ps}};
     for (const std::string_view pair : split(text, ',')) {
         const std::size_t cut = pair.find(':');
         if (cut == std::string_view::npos) bad("a name:value pair of the load report", pair);
-        const auto field = choice(fields, pair.substr(0, cut), "a load report's value name");
+        const auto field = load_field(pair.substr(0, cut));
+        if (field == nullptr) bad("a load report's value name", pair.substr(0, cut));
         report.*field = finite(pair.substr(cut + 1), "a load report's value");
     }
     return report;
--- a/src/agent/feed_client.cpp
+++ b/src/agent/feed_client.cpp
@@ -4,7 +4,6 @@
 #include <nlohmann/json.hpp>
 
 #include "agent/log.h"
-#include "codec/error.h"
 #include "codec/message.h"
 
 namespace jasperspread::agent {
--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -67,19 +67,12 @@
 }  // namespace
 
 LoadReport read_load(const std::string& text) {
-    using Field = std::optional<double> LoadReport::*;
-    static constexpr std::pair<std::string_view, Field> fields[] = {
-        {"busy_reqs", &LoadReport::busy},       {"pending", &LoadReport::pending},
-        {"cpu_share", &LoadReport::link_share}, {"x0", &LoadReport::link_asked},
-        {"x1", &LoadReport::rack_asked},        {"svc_ms", &LoadReport::setup_ms},
-        {"served_ps", &LoadReport::served_ps},  {"failed_ps", &LoadReport::failed_ps}};
     LoadReport report;
     for (const std::string_view pair : split(text, ';')) {
         const std::size_t colon = std::min(pair.find(':'), pair.size());
-        for (const auto& [name, field] : fields) {
-            if (name != pair.substr(0, colon)) continue;
+        const LoadField field = load_field(pair.substr(0, colon));
+        if (field != nullptr)
             report.*field = codec::parse_number(pair.substr(std::min(colon + 1, pair.size())));
-        }
     }
     return report;
 }
@@ -429,7 +422,7 @@
             break;
         case ServerVerb::Finish:
             link.connection.send(encode(word(ServerVerb::Finished, id)));
-            if (entry != nullptr) finished(link, message);
+            if (entry != nullptr) finished(message);
             break;
         case ServerVerb::Notice: {
             static constexpr std::pair<std::string_view, NoteKind> kinds[] = {{"fill", NoteKind::Delivered},
@@ -456,7 +449,7 @@
     }
 }
 
-void ServerLinks::finished(Link&, const ServerMessage& message) {
+void ServerLinks::finished(const ServerMessage& message) {
     const SessionId id = message.session;
     const State state = entries_.at(id).state;
     if (state == State::Queued) return;
--- a/src/agent/server_links.h
+++ b/src/agent/server_links.h
@@ -76,7 +76,7 @@
     bool quiet(const Server& at) const;
     void pump(Link& link);
     void take(Link& link, const codec::ServerMessage& message);
-    void finished(Link& link, const codec::ServerMessage& message);
+    void finished(const codec::ServerMessage& message);
     void link_ended(Link& link, net::Connection::End why);
     void end_queued(Link& link, cinderfront::Ending how);
     void attempt_over(SessionId id, cinderfront::Ending how, const cinderfront::LoadReport& load);
--- a/src/agent/settings.cpp
+++ b/src/agent/settings.cpp
@@ -188,6 +188,19 @@
     return values;
 }
 
+LoadField load_field(std::string_view name) {
+    using cinderfront::LoadReport;
+    static constexpr std::pair<std::string_view, LoadField> fields[] = {
+        {"busy_reqs", &LoadReport::busy},       {"pending", &LoadReport::pending},
+        {"cpu_share", &LoadReport::link_share}, {"x0", &LoadReport::link_asked},
+        {"x1", &LoadReport::rack_asked},        {"svc_ms", &LoadReport::setup_ms},
+        {"served_ps", &LoadReport::served_ps},  {"failed_ps", &LoadReport::failed_ps}};
+    for (const auto& [known, field] : fields) {
+        if (known == name) return field;
+    }
+    return nullptr;
+}
+
 std::size_t index_of(const std::vector<std::string>& names, std::string_view name, const char* what) {
     for (std::size_t i = 0; i < names.size(); ++i) {
         if (names[i] == name) return i;
--- a/src/agent/settings.h
+++ b/src/agent/settings.h
@@ -59,6 +59,10 @@
 // A name as it stands in a Profile: spaces and commas are underscores there.
 std::string plain_name(std::string_view name);
 
+// The field of a load report that goes by this name; null for one that this program does not know.
+using LoadField = std::optional<double> cinderfront::LoadReport::*;
+LoadField load_field(std::string_view name);
+
 Profile read_profile(PathValues values);
 std::size_t index_of(const std::vector<std::string>& names, std::string_view name, const char* what);
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
 // jasperspread: the session agent. Wires the parts together and handles signals; decides nothing.
+#include <poll.h>
 #include <signal.h>
 #include <sys/resource.h>
 #include <sys/signalfd.h>
@@ -9,6 +10,7 @@
 #include <cstdlib>
 #include <exception>
 #include <fstream>
+#include <functional>
 #include <iterator>
 #include <string>
 #include <system_error>
@@ -44,7 +46,7 @@
             throw std::system_error(errno, std::generic_category());
         fd_ = net::Fd(signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
         if (!fd_) throw std::system_error(errno, std::generic_category(), "signalfd");
-        loop_.watch(fd_.get(), 1, *this);
+        loop_.watch(fd_.get(), POLLIN, *this);
     }
     ~Signals() { loop_.forget(fd_.get()); }
     Signals(const Signals&) = delete;
