--- a/tests/scenarios/program_test.cpp
+++ b/tests/scenarios/program_test.cpp
@@ -181,10 +181,7 @@
 TEST_CASE("a machine that vanishes takes its sessions along") {
     CHECK_EQ(play(R"(
         agent send start told=0.3
-        v1 send setup 5
-        s1 expect START 5
-        s1 send STARTED 5
-        v1 expect answer 5
+        stands 5
         s1 deaf                                # the open connection stays open and silent
         v1 expect release 5 cause=41
     )"),
@@ -194,10 +191,7 @@
 TEST_CASE("a frozen process keeps its sessions") {
     CHECK_EQ(play(R"(
         agent send start told=0.3
-        v1 send setup 5
-        s1 expect START 5
-        s1 send STARTED 5
-        v1 expect answer 5
+        stands 5
         v1 expect nothing 3                    # new connections still come up
         s1 send FINISH 5 rc=16
         v1 expect release 5 cause=16
@@ -218,10 +212,7 @@
 TEST_CASE("a session that stands belongs to no connection") {
     CHECK_EQ(play(R"(
         agent send start
-        v1 send setup 5
-        s1 expect START 5
-        s1 send STARTED 5
-        v1 expect answer 5
+        stands 5
         v1 close
         v2 send test 1
         v2 expect result 1
@@ -241,10 +232,7 @@
 TEST_CASE("an end that no viewer could hear is told on the next connection") {
     CHECK_EQ(play(R"(
         agent send start
-        v1 send setup 5
-        s1 expect START 5
-        s1 send STARTED 5
-        v1 expect answer 5
+        stands 5
         v1 close
         wait 0.2
         s1 send FINISH 5 rc=41
@@ -258,10 +246,7 @@
 TEST_CASE("a release that crosses the close of its connection is said again on another") {
     CHECK_EQ(play(R"(
         agent send start
-        v1 send setup 5
-        s1 expect START 5
-        s1 send STARTED 5
-        v1 expect answer 5
+        stands 5
         v2 send test 1
         v2 expect result 1
         s1 send FINISH 5 rc=16
@@ -275,10 +260,7 @@
 TEST_CASE("a session ended by its viewer is owed no release") {
     CHECK_EQ(play(R"(
         agent send start
-        v1 send setup 5
-        s1 expect START 5
-        s1 send STARTED 5
-        v1 expect answer 5
+        stands 5
         s1 send FINISH 5 rc=31
         v1 expect nothing 0.3
     )"),
@@ -288,10 +270,7 @@
 TEST_CASE("a process that dies takes its sessions along") {
     CHECK_EQ(play(R"(
         agent send start
-        v1 send setup 5
-        s1 expect START 5
-        s1 send STARTED 5
-        v1 expect answer 5
+        stands 5
         s1 stop
         v1 expect release 5 cause=41
     )"),
@@ -458,10 +437,7 @@
 TEST_CASE("sessions that stand when the program goes are ended towards both sides") {
     CHECK_EQ(play(R"(
         agent send start
-        v1 send setup 5
-        s1 expect START 5
-        s1 send STARTED 5
-        v1 expect answer 5
+        stands 5
         agent send term
         v1 expect nothing 1.5                  # it plays on for a while
         v1 expect release 5 cause=41
--- a/tests/scenarios/scenario.cpp
+++ b/tests/scenarios/scenario.cpp
@@ -283,6 +283,7 @@
     explicit Player(std::string_view text) {
         std::istringstream words{std::string(text)};
         for (std::string word; words >> word;) {
+            if (word == "stands") servers_["s1"];
             if (word.size() == 2 && word[0] == 's' && word[1] >= '1' && word[1] <= '9') servers_[word];
         }
     }
@@ -303,6 +304,13 @@
 
     void line(const Words& words) {
         if (words[0] == "wait") return pause(std::stod(words.at(1)));
+        if (words[0] == "stands") {
+            const std::string& id = words.at(1);
+            line({"v1", "send", "setup", id});
+            line({"s1", "expect", "START", id});
+            line({"s1", "send", "STARTED", id});
+            return line({"v1", "expect", "answer", id});
+        }
         const std::string& party = words.at(0);
         const std::string& verb = words.at(1);
         const Words rest(words.begin() + 2, words.end());
--- a/tests/scenarios/scenario.h
+++ b/tests/scenarios/scenario.h
@@ -12,6 +12,7 @@
 //   feed expect after=3, feed send n=4 s1=draining, feed send comment
 //   X expect nothing 0.3, X expect closed, X close, X reset, v1 flood
 //   s1 deaf, s1 hear                     new connections to it stay silent; come up again
+//   stands 7                             v1 has asked for session 7, and it plays at s1
 //   wait 0.2
 //   viewer-codec, server-codec, feed-codec: `send` bytes in single steps, `expect` what they mean
 //
