Reread the configuration on SIGHUP and move to the feed that it names

Ruled out: memory (0 of 48 MB) and descriptors (24 of 384).

Change: SIGHUP comes by the same descriptor. The file is read and checked as at a start; if it can't be used, one line names the field and all stays as it is. FeedClient::move_to hangs up at once (the old feed tells nothing more), drops a pause that has begun, and asks the new one from the last event on.

Checked: the new scenario (a bad file, then a good one, with a set-up open) fails without the change, as the program ends.

--- a/src/agent/feed_client.cpp
+++ b/src/agent/feed_client.cpp
@@ -31,6 +31,16 @@
     connect();
 }
 
+// The old feed tells nothing more: nothing is waited for there, not even a pause that has begun.
+void FeedClient::move_to(const net::Address& feed) {
+    log_line("feed: moves to " + net::to_text(feed) + ", after event " + std::to_string(last_));
+    hang_up();
+    again_.cancel();
+    feed_ = feed;
+    pause_ = first_pause_s;
+    connect();
+}
+
 void FeedClient::connect() {
     connected_ = 0;
     parser_.emplace();
@@ -81,11 +91,16 @@
     lost("the connection has ended");
 }
 
-void FeedClient::lost(const std::string& why) {
-    log_line("feed: " + why + ", after event " + std::to_string(last_));
+void FeedClient::hang_up() {
     silence_.cancel();
+    if (!connection_) return;  // between two attempts
     connection_->close();
     loop_.retire(std::move(connection_));
+}
+
+void FeedClient::lost(const std::string& why) {
+    log_line("feed: " + why + ", after event " + std::to_string(last_));
+    hang_up();
     if (connected_ > 0 && net::unix_now() > connected_ + held_s) pause_ = first_pause_s;
     again_.set(net::unix_now() + pause_, [this] { connect(); });
     pause_ = std::min(pause_ * 2, longest_pause_s);
--- a/src/agent/feed_client.h
+++ b/src/agent/feed_client.h
@@ -21,6 +21,9 @@
     FeedClient(net::Loop& loop, net::BufferPool& pool, const net::Address& feed, const Profile& profile,
                std::uint64_t last, Told told);
 
+    // The feed is to be had elsewhere from now on. The numbers of its events continue.
+    void move_to(const net::Address& feed);
+
     void opened(net::Connection&) override;
     std::size_t received(net::Connection&, std::string_view bytes) override;
     void ended(net::Connection&, net::Connection::End why) override;
@@ -28,12 +31,13 @@
 private:
     void connect();
     void lost(const std::string& why);
+    void hang_up();
     void take(const codec::FeedEvent& event);
     void wait_for_words();
 
     net::Loop& loop_;
     net::BufferPool& pool_;
-    const net::Address feed_;
+    net::Address feed_;
     const Profile& profile_;
     std::uint64_t last_;
     Told told_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -34,14 +34,15 @@
 // and 0.7 s after SIGTERM: so long after that deadline the program goes by itself, s.
 constexpr double longest_counted = 3.0, stay_over_deadline = 0.4;
 
-// SIGTERM and SIGINT as a descriptor of the loop.
+// SIGTERM, SIGINT and SIGHUP as a descriptor of the loop.
 class Signals : private net::Ready {
 public:
-    Signals(net::Loop& loop, std::function<void()> told) : loop_(loop), told_(std::move(told)) {
+    Signals(net::Loop& loop, std::function<void(int)> told) : loop_(loop), told_(std::move(told)) {
         sigset_t set;
         sigemptyset(&set);
         sigaddset(&set, SIGTERM);
         sigaddset(&set, SIGINT);
+        sigaddset(&set, SIGHUP);
         if (sigprocmask(SIG_BLOCK, &set, nullptr) != 0)
             throw std::system_error(errno, std::generic_category());
         fd_ = net::Fd(signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
@@ -55,19 +56,25 @@
 private:
     void ready(short) override {
         signalfd_siginfo info;
-        while (read(fd_.get(), &info, sizeof info) == static_cast<ssize_t>(sizeof info)) told_();
+        while (read(fd_.get(), &info, sizeof info) == static_cast<ssize_t>(sizeof info)) {
+            told_(static_cast<int>(info.ssi_signo));
+        }
     }
     net::Loop& loop_;
-    std::function<void()> told_;
+    std::function<void(int)> told_;
     net::Fd fd_;
 };
 
-agent::Config load_config(int argc, char** argv) {
+std::string config_path(int argc, char** argv) {
     const char* path = argc > 1 ? argv[1] : std::getenv("RELAY_CONFIG");
     if (path == nullptr)
         throw agent::SettingsError("expected RELAY_CONFIG or an argument to name the configuration");
+    return path;
+}
+
+agent::Config load_config(const std::string& path) {
     std::ifstream file(path, std::ios::binary);
-    if (!file) throw agent::SettingsError(std::string("expected a readable configuration at ") + path);
+    if (!file) throw agent::SettingsError("expected a readable configuration at " + path);
     const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
     return agent::read_config(text);
 }
@@ -80,11 +87,13 @@
     setrlimit(RLIMIT_NOFILE, &limit);
 }
 
-void serve(agent::Config config) {
+void serve(const std::string& path, agent::Config config) {
     net::Loop loop;
     net::BufferPool pool;
     double term_at = 0;
-    Signals signals(loop, [&] {
+    std::function<void()> reload;  // a signal that comes before it is there waits for the loop's first turn
+    Signals signals(loop, [&](int signal) {
+        if (signal == SIGHUP) return reload();
         if (term_at == 0) agent::log_line("asked to end");
         if (term_at == 0) term_at = net::unix_now();
     });
@@ -114,6 +123,16 @@
                                sessions.listed(list);
                                servers.listed();
                            });
+    // Guards against a file that is half written or wrong: the program goes on with what it has. Only the
+    // feed's address can change while sessions stand; all else counts from the next start.
+    reload = [&] {
+        try {
+            feed.move_to(load_config(path).feed);
+        } catch (const std::exception& error) {
+            agent::log_line(std::string("asked to reread the configuration, keeps the old one: ") +
+                            error.what());
+        }
+    };
     agent::log_line(config.name + " listens at " + net::to_text(viewers.address()));
 
     net::Timer wake(loop);
@@ -144,9 +163,10 @@
 int main(int argc, char** argv) {
     signal(SIGPIPE, SIG_IGN);
     try {
-        agent::Config config = load_config(argc, argv);
+        const std::string path = config_path(argc, argv);
+        agent::Config config = load_config(path);
         limit_descriptors(config.descriptors);
-        serve(std::move(config));
+        serve(path, std::move(config));
     } catch (const std::exception& error) {
         std::fprintf(stderr, "jasperspread: %s\n", error.what());
         return 2;
--- a/tests/scenarios/program_test.cpp
+++ b/tests/scenarios/program_test.cpp
@@ -311,6 +311,29 @@
              "");
 }
 
+TEST_CASE("told to reread its configuration, the program moves to the feed that it names") {
+    CHECK_EQ(play(R"(
+        agent send start
+        feed expect after=1
+        feed send n=2 s2=draining
+        v1 send setup 5
+        s1 expect START 5
+        agent send reload drop=seed            # a file that can't be used: all stays as it is
+        agent expect log=seed
+        feed send n=3 s2=up
+        wait 0.3
+        agent send reload
+        feed2 expect after=3                   # the numbers continue
+        feed2 send n=4 s1=draining
+        wait 0.3
+        s1 send STARTED 5                      # what is under way goes on
+        v1 expect answer 5
+        v1 send setup 6 home=0 copies=2
+        s2 expect START 6
+    )"),
+             "");
+}
+
 TEST_CASE("an event of the feed that can't be read is passed over") {
     CHECK_EQ(play(R"(
         agent send start
--- a/tests/scenarios/scenario.cpp
+++ b/tests/scenarios/scenario.cpp
@@ -316,7 +316,8 @@
         const Words rest(words.begin() + 2, words.end());
         if (party.ends_with("-codec")) return codec_line(party, verb, rest);
         if (party == "agent") return agent_line(verb, rest);
-        if (party == "feed") return feed_line(verb, rest);
+        if (party == "feed") return feed_line(feed_, verb, rest);
+        if (party == "feed2") return feed_line(feed2_, verb, rest);
         if (servers_.contains(party)) return server_line(servers_.at(party), verb, rest);
         viewer_line(party, verb, rest);
     }
@@ -332,6 +333,13 @@
             ::kill(pid_, SIGTERM);
             return;
         }
+        if (verb == "send" && rest.at(0) == "reload") {
+            auto json = config(fields_of(rest, 1));
+            json["feed"] = net::to_text(feed2_.address);
+            std::ofstream(config_path_) << json.dump();
+            ::kill(pid_, SIGHUP);
+            return;
+        }
         const auto wanted = fields_of(rest, 0);
         const double by = net::unix_now() + patience_s;
         if (wanted.contains("log")) return log(wanted.at("log"), by);
@@ -507,22 +515,22 @@
 
     // ---- The feed ----
 
-    void feed_line(const std::string& verb, const Words& rest) {
-        if (verb == "close") return feed_.drop(false);
+    void feed_line(Listening& feed, const std::string& verb, const Words& rest) {
+        if (verb == "close") return feed.drop(false);
         if (verb == "expect") {
             const std::string wanted = "Last-Event-ID: " + fields_of(rest, 0).at("after") + "\r\n";
             const auto asked = [&](Wire& wire) { return wire.in.find("\r\n\r\n") != std::string::npos; };
-            if (!feed_.wait(net::unix_now() + patience_s, asked)) throw Wrong("nobody asked");
-            const std::string request = std::exchange(feed_.last->in, "");
+            if (!feed.wait(net::unix_now() + patience_s, asked)) throw Wrong("nobody asked");
+            const std::string request = std::exchange(feed.last->in, "");
             if (!request.starts_with("GET /v1/events HTTP/1.1\r\n")) throw Wrong("asked " + request);
             if (request.find(wanted) == std::string::npos) throw Wrong("asked " + request);
-            return feed_.last->write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
+            return feed.last->write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
         }
-        if (rest.at(0) == "comment") return feed_.talking().write(": on\n\n");
+        if (rest.at(0) == "comment") return feed.talking().write(": on\n\n");
         auto fields = fields_of(rest, 0);
         const std::string n = fields.at("n");
         const std::string data = members(std::stoi(n), fields.contains("complete"), fields).dump();
-        feed_.talking().write("id: " + n + "\ndata: " + data + "\n\n");
+        feed.talking().write("id: " + n + "\ndata: " + data + "\n\n");
     }
 
     // ---- Codecs alone ----
@@ -569,7 +577,7 @@
     }
 
     std::map<std::string, Listening> servers_;
-    Listening feed_;
+    Listening feed_, feed2_;
     std::map<std::string, Wire> viewers_;
     net::Address agent_;
     pid_t pid_ = 0;
--- a/tests/scenarios/scenario.h
+++ b/tests/scenarios/scenario.h
@@ -4,6 +4,7 @@
 //   and
 //                                        starts the program
 //   agent send term                      SIGTERM
+//   agent send reload [key=value ...]    writes it anew, with feed2 for its feed, and sends SIGHUP
 //   agent expect exit=N | log=TEXT       its end, or a line of its log that holds TEXT
 //   v1 send setup 7 class=free wait=900  a viewers' message; also test, release, ...; raw=HEX for any bytes
 //   v1 expect answer 7 body=there        the next message, with at least these fields
