Tell ends to viewers who listen, until heard; keep bad clients from the module

Ruled out: lost ends on the servers' side and the restart of a server under its address (all links refused, all sessions cut in time). - Bad clients: 56 answers went to a bad connection since take_set_up handed an open set-up over to whoever used its number; the rest fit ends with cause 16 said to a bad connection that was used last. 32 set-ups with the id 0 match the 33 connections that servers closed. 8,600 of the set-ups were the same ids again, and each refusal raised the module's price. Nothing closed the 794 connections that never sent a whole message.

A number that is open is not taken over: the newcomer's connection ends. An old number fails without the module hearing of it; so do figures out of range (refused). Nine such end the connection. A message must be whole in 2.5 s. At the bound, silent connections go at once, all of them.

--- a/src/agent/viewer_side.cpp
+++ b/src/agent/viewer_side.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
 #include "agent/log.h"
@@ -16,10 +17,18 @@
 namespace {
 
 constexpr std::uint8_t cause_over = 16, cause_broken = 41, cause_refused = 42, test_passed = 1;
-// A viewer hears of an end within so long or never; and so long a word may be lost with its connection, s.
-constexpr double owed_for_s = 8, heard_within_s = 1;
-// A connection must have rested so long before it may make room for a new one, s.
-constexpr double rested_s = 0.25;
+// A viewer hears of an end within so long or never, s. What is not heard is said again after a first pause,
+// which doubles: twice within the second in which it is due, and few times to viewers that never say so.
+constexpr double owed_for_s = 8, first_pause_s = 0.25, look_every_s = 0.05;
+// A connection must have rested so long before it may make room for a new one, s; one on which nothing has
+// come yet, so long.
+constexpr double rested_s = 0.25, unheard_s = 0.1;
+// A message must be whole so long after its first byte, and the first one so long after the connection came,
+// s: whoever sends what can't be read is owed a word or a close within 3 s.
+constexpr double whole_within_s = 2.5;
+// Set-ups on one connection that nobody can serve, before it is taken for one that asks no more in earnest.
+constexpr int most_faults = 8;
+constexpr std::size_t seen_most = 4096;  // set-ups whose ids are remembered
 
 ViewerMessage word(ViewerType type, SessionId id, std::optional<std::uint8_t> cause = std::nullopt) {
     ViewerMessage message;
@@ -34,10 +43,14 @@
     return it == message.figures.end() ? nullptr : &it->second;
 }
 
-std::uint32_t small_figure(const ViewerMessage& message, const char* name) {
+std::uint32_t small_figure(const ViewerMessage& message, const char* name, std::size_t least,
+                           std::size_t most) {
     const std::string* text = figure(message, name);
     const auto value = text == nullptr ? std::nullopt : codec::parse_number(*text);
-    if (!value || *value < 0 || *value > 1e9) codec::malformed(std::string("a set-up has no ") + name);
+    if (!value) codec::malformed(std::string("a set-up has no ") + name);
+    if (*value < static_cast<double>(least) || *value > static_cast<double>(most)) {
+        codec::malformed(std::string("a set-up's ") + name + " is out of range");
+    }
     return static_cast<std::uint32_t>(*value);
 }
 
@@ -46,6 +59,7 @@
     SetUp set_up;
     cinderfront::Request& request = set_up.request;
     request.id = message.session;
+    if (request.id == 0) codec::malformed("a set-up has no id");  // servers close on it, with all open there
     set_up.class_name = message.class_name.value_or("");
     set_up.title = message.title.value_or("");
     set_up.description = message.description.value_or("");
@@ -54,13 +68,17 @@
     if (cls == classes.end()) codec::malformed("a set-up names no class of the settings");
     request.cls = static_cast<std::uint32_t>(cls - classes.begin());
     const double deadline = profile.settings.classes[request.cls].deadline;
-    request.not_after = now + (message.wait_ms ? std::max(0.0, *message.wait_ms) / 1000 : deadline);
+    if (message.wait_ms && *message.wait_ms <= 0) codec::malformed("a set-up waits for no time");
+    request.not_after = now + std::min(message.wait_ms.value_or(deadline * 1000) / 1000, deadline);
     if (message.hint_ms && *message.hint_ms >= 0) request.hint = *message.hint_ms / 1000;
     request.title = codec::parse_hex(set_up.title);
+    if (!request.title) codec::malformed("a set-up names no title");
     if (const std::string* viewer = figure(message, "viewer")) request.key = codec::parse_hex(*viewer);
-    request.start_cell = small_figure(message, "home");
-    request.holders = small_figure(message, "copies");
-    request.ceiling = static_cast<int>(small_figure(message, "top"));
+    const std::size_t cells = std::max(1U, profile.settings.cells);
+    request.start_cell = small_figure(message, "home", 0, cells - 1);
+    request.holders = small_figure(message, "copies", 1, cells);
+    const std::size_t rungs = std::max<std::size_t>(1, profile.settings.ladder_kb.size());
+    request.ceiling = static_cast<int>(small_figure(message, "top", 0, rungs - 1));
     const std::string* again = figure(message, "again");
     request.repeat = again != nullptr && *again != "0";
     if (const std::string* at = figure(message, "at")) set_up.playing_at = *at;
@@ -73,7 +91,12 @@
 class ViewerSide::Peer : public Connection::Owner {
 public:
     Peer(ViewerSide& side, net::Fd fd)
-        : used(net::unix_now()), side_(side), connection(side.loop_, side.pool_, *this, std::move(fd)) {}
+        : used(net::unix_now()),
+          side_(side),
+          patience_(side.loop_),
+          connection(side.loop_, side.pool_, *this, std::move(fd)) {
+        wait_for_whole();
+    }
 
     std::size_t received(Connection&, std::string_view bytes) override {
         // What crosses our close is sent again on another connection: taken here too, it would count twice.
@@ -85,23 +108,34 @@
                 const auto decoded = codec::decode_viewer(bytes.substr(taken));
                 if (!decoded) break;
                 taken += decoded->size;
+                spoke = true;
+                patience_.cancel();
                 side_.take(*this, decoded->message);
             }
         } catch (const codec::CodecError& error) {
             log_line(std::string("viewer: ") + error.what());
             side_.break_off(*this);
         }
+        if (connection.is_open() && taken < bytes.size() && !patience_.is_set()) wait_for_whole();
         return taken;
     }
     void ended(Connection&, Connection::End) override { side_.peer_ended(*this); }
 
     double used;                // last traffic
+    bool spoke = false;         // a whole message has come
+    bool proven = false;        // and what only a viewer does: it was served, or has heard of an end
+    int faults = 0;             // set-ups that nobody can serve
     std::set<SessionId> open;   // set-ups that are owed an answer here
     std::set<SessionId> known;  // these and the sessions that were set up here
-    std::deque<Owed> said;      // words on ended sessions that may be lost if this connection breaks now
 
 private:
+    // Guards against messages that never end and connections that never speak: each holds a descriptor.
+    void wait_for_whole() {
+        patience_.set(net::unix_now() + whole_within_s, [this] { side_.break_off(*this); });
+    }
+
     ViewerSide& side_;
+    net::Timer patience_;
 
 public:
     Connection connection;  // last: it may not call back before the rest is there
@@ -114,6 +148,7 @@
       events_(events),
       profile_(profile),
       most_(connections),
+      again_(loop),
       listener_(loop, listen,
                 {[this](net::Fd fd) { accepted(std::move(fd)); }, [this] { return make_room(); },
                  [this] {
@@ -129,24 +164,28 @@
 
 void ViewerSide::accepted(net::Fd fd) {
     auto peer = std::make_shared<Peer>(*this, std::move(fd));
-    Peer& fresh = *peer;
-    peers_.emplace(&fresh, std::move(peer));
-    const double now = net::unix_now();
-    for (const Owed& owed : std::exchange(owed_, {})) {
-        if (now < owed.since + owed_for_s) say(fresh, owed);
-    }
+    peers_.emplace(peer.get(), peer);
 }
 
-// Keeps the viewers' part of the descriptors: at the bound, the connection that rested longest and on which
-// no set-up is open is closed for a new one.
+// Keeps the viewers' part of the descriptors. At the bound, connections on which nothing has come yet go at
+// once, all of them: they may come by the hundred. Else the one that rested longest and has no set-up open is
+// closed for a new one.
 bool ViewerSide::make_room() {
     if (peers_.size() < most_) return true;
+    const double now = net::unix_now();
+    std::vector<Peer*> unheard;
     Peer* oldest = nullptr;
     for (const auto& [key, peer] : peers_) {
+        if (!peer->spoke && peer->used < now - unheard_s) unheard.push_back(peer.get());
         if (!peer->open.empty() || !peer->connection.is_open()) continue;
         if (oldest == nullptr || peer->used < oldest->used) oldest = peer.get();
     }
-    if (oldest != nullptr && oldest->used < net::unix_now() - rested_s) oldest->connection.finish();
+    for (Peer* peer : unheard) {
+        peer->connection.close();
+        peer_ended(*peer);
+    }
+    if (!unheard.empty()) return true;
+    if (oldest != nullptr && oldest->used < now - rested_s) oldest->connection.finish();
     return false;
 }
 
@@ -163,7 +202,7 @@
         }
         events_.given_up(message.session);
     } else if (message.is(ViewerType::ReleaseHeard)) {
-        std::erase_if(peer.said, [&](const Owed& owed) { return owed.id == message.session; });
+        if (owed_.erase(message.session) > 0) peer.proven = true;
     } else if (message.is(ViewerType::Test)) {
         // `known` was taken in before the first connection could come: this agent is ready.
         peer.connection.send(encode(word(ViewerType::TestResult, message.session, test_passed)));
@@ -171,27 +210,49 @@
 }
 
 void ViewerSide::take_set_up(Peer& peer, const ViewerMessage& message) {
+    const SessionId id = message.session;
     SetUp set_up;
     try {
         set_up = read_set_up(message, profile_, net::unix_now());
     } catch (const codec::CodecError& error) {
         // The message is whole but asks what nobody can do: refused, as nothing has run.
-        log_line(std::string("viewer: ") + error.what());
-        return peer.connection.send(encode(word(ViewerType::Release, message.session, cause_refused)));
+        return turn_away(peer, id, cause_refused, error.what());
     }
-    if (!set_up.playing_at) {
-        Peer*& on = asked_on_[message.session];
-        if (on != nullptr) {  // sent again after its connection was closed: answered on the new one
-            on->open.erase(message.session);
-            on->known.erase(message.session);
-        }
-        on = &peer;
-        peer.open.insert(message.session);
-        peer.known.insert(message.session);
+    const bool fresh = remember(id);
+    if (set_up.playing_at) {
+        peer.proven = true;
+        return events_.set_up(set_up);
     }
+    // Guards against a set-up under the number of another one that is open or stands: its answer must go
+    // where it was asked for, not to whoever uses its number.
+    if (asked_on_.contains(id)) codec::malformed("two set-ups under one number");
+    // Ids never come twice. It failed, whatever became of the first: an attempt of that may have run.
+    if (!fresh) return turn_away(peer, id, cause_broken, "a set-up comes again");
+    asked_on_[id] = &peer;
+    peer.open.insert(id);
+    peer.known.insert(id);
     events_.set_up(set_up);
 }
 
+// False when it was there already.
+bool ViewerSide::remember(SessionId id) {
+    if (!seen_.insert(id).second) return false;
+    seen_order_.push_back(id);
+    if (seen_order_.size() > seen_most) {
+        seen_.erase(seen_order_.front());
+        seen_order_.pop_front();
+    }
+    return true;
+}
+
+// Guards against clients that ask again, at full speed, the moment they are turned away: the module never
+// hears of them, so that they do not count as viewers who want something, and in the end they are closed.
+void ViewerSide::turn_away(Peer& peer, SessionId id, std::uint8_t cause, const char* why) {
+    if (++peer.faults > most_faults) codec::malformed(why);
+    if (peer.faults == 1) log_line(std::string("viewer: ") + why);
+    peer.connection.send(encode(word(ViewerType::Release, id, cause)));
+}
+
 // Ends a connection that can't be read. Its open set-ups get their answer first: they failed.
 void ViewerSide::break_off(Peer& peer) {
     for (const SessionId id : std::set<SessionId>(peer.open)) {
@@ -208,10 +269,12 @@
     peers_.erase(it);
     for (const SessionId id : peer.known) asked_on_.erase(id);
     // Guards against a word that crossed the viewer's close and was never read: it is said once more.
-    const double now = net::unix_now();
-    for (const Owed& owed : std::exchange(peer.said, {})) {
-        if (now <= owed.since + heard_within_s) say_soon(any_peer(owed.id), owed);
+    for (auto& [id, owed] : owed_) {
+        if (owed.on != &peer) continue;
+        owed.on = nullptr;
+        owed.again_at = net::unix_now();
     }
+    say_again();
     for (const SessionId id : std::set<SessionId>(peer.open)) events_.given_up(id);
 }
 
@@ -232,6 +295,7 @@
 void ViewerSide::answered(SessionId id, const std::string& description) {
     ViewerMessage message = word(ViewerType::Answer, id);
     message.description = description;
+    if (const auto it = asked_on_.find(id); it != asked_on_.end()) it->second->proven = true;
     answer(id, message);
 }
 
@@ -260,40 +324,51 @@
     owe(id, word(ViewerType::Move, id));
 }
 
-ViewerSide::Peer* ViewerSide::any_peer(SessionId id) {
-    const auto it = asked_on_.find(id);
-    if (it != asked_on_.end() && it->second->connection.is_open()) return it->second;
+// One on which a viewer was served before one that has only spoken: a client that never was would take what
+// it is told for an answer of its own, and one that has only just connected passes it over. Of these the one
+// used last, as the least likely to be closing now.
+ViewerSide::Peer* ViewerSide::any_peer(const Peer* but) {
+    const auto rank = [&](const Peer& peer) {
+        return std::tuple(peer.proven, peer.spoke && peer.faults == 0, &peer != but, peer.used);
+    };
     Peer* best = nullptr;
     for (const auto& [key, peer] : peers_) {
-        // The one used last is the least likely to be closing now.
-        if (peer->connection.is_open() && (best == nullptr || peer->used > best->used)) best = peer.get();
+        if (!peer->connection.is_open()) continue;
+        if (best == nullptr || rank(*peer) > rank(*best)) best = peer.get();
     }
     return best;
 }
 
-// Says that a session is over, on its own connection, any other one, or the next.
+// Says that a session is over, on its own connection or any other one.
 void ViewerSide::owe(SessionId id, const ViewerMessage& message) {
-    Peer* peer = any_peer(id);
+    Peer* own = nullptr;
     if (const auto it = asked_on_.find(id); it != asked_on_.end()) {
+        own = it->second->connection.is_open() ? it->second : nullptr;
         it->second->known.erase(id);
         asked_on_.erase(it);
     }
-    say_soon(peer, Owed{id, encode(message), net::unix_now()});
+    const double now = net::unix_now();
+    Owed& owed = owed_[id] = Owed{encode(message), now, nullptr, now, first_pause_s};
+    say(owed, own != nullptr ? own : any_peer(nullptr));
+    if (!again_.is_set()) again_.set(now + look_every_s, [this] { say_again(); });
 }
 
-void ViewerSide::say_soon(Peer* peer, const Owed& owed) {
-    if (peer != nullptr) return say(*peer, owed);
-    std::erase_if(owed_, [&](const Owed& old) { return old.since < owed.since - owed_for_s; });
-    owed_.push_back(owed);
+void ViewerSide::say(Owed& owed, Peer* to) {
+    if (to == nullptr) return;
+    owed.on = to;
+    owed.again_at = net::unix_now() + owed.pause;
+    owed.pause *= 2;
+    to->connection.send(owed.bytes);
 }
 
-void ViewerSide::say(Peer& peer, const Owed& owed) {
-    while (!peer.said.empty() && peer.said.front().since < net::unix_now() - heard_within_s) {
-        peer.said.pop_front();
+// Guards against an end that nobody heard: it is said again, on another connection where there is one.
+void ViewerSide::say_again() {
+    const double now = net::unix_now();
+    std::erase_if(owed_, [&](const auto& entry) { return now >= entry.second.since + owed_for_s; });
+    for (auto& [id, owed] : owed_) {
+        if (now >= owed.again_at) say(owed, any_peer(owed.on));
     }
-    peer.said.push_back(owed);
-    peer.said.back().since = net::unix_now();
-    peer.connection.send(owed.bytes);
+    if (!owed_.empty()) again_.set(now + look_every_s, [this] { say_again(); });
 }
 
 }  // namespace jasperspread::agent
--- a/src/agent/viewer_side.h
+++ b/src/agent/viewer_side.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "agent/seam.h"
 #include "codec/viewer_codec.h"
@@ -35,22 +36,25 @@
 private:
     class Peer;
     struct Owed {  // a word on a session that stood, until a viewer has heard it
-        SessionId id = 0;
         std::string bytes;
         double since = 0;
+        const Peer* on = nullptr;  // where it was said last; null: nowhere, or that connection has gone
+        double again_at = 0, pause = 0;
     };
 
     void accepted(net::Fd fd);
     bool make_room();
     void take(Peer& peer, const codec::ViewerMessage& message);
     void take_set_up(Peer& peer, const codec::ViewerMessage& message);
+    void turn_away(Peer& peer, SessionId id, std::uint8_t cause, const char* why);
+    bool remember(SessionId id);
     void peer_ended(Peer& peer);
     void break_off(Peer& peer);
     void answer(SessionId id, const codec::ViewerMessage& message);
     void owe(SessionId id, const codec::ViewerMessage& message);
-    void say(Peer& peer, const Owed& owed);
-    void say_soon(Peer* peer, const Owed& owed);  // on the next connection where there is none
-    Peer* any_peer(SessionId id);
+    void say(Owed& owed, Peer* to);
+    void say_again();
+    Peer* any_peer(const Peer* but);  // another one than `but`, where there is one
 
     net::Loop& loop_;
     net::BufferPool& pool_;
@@ -59,7 +63,10 @@
     const std::size_t most_;
     std::map<const Peer*, std::shared_ptr<Peer>> peers_;
     std::unordered_map<SessionId, Peer*> asked_on_;  // of open set-ups and of sessions that stand
-    std::deque<Owed> owed_;                          // no connection was there to say it on
+    std::unordered_set<SessionId> seen_;             // ids of set-ups taken lately
+    std::deque<SessionId> seen_order_;
+    std::map<SessionId, Owed> owed_;
+    net::Timer again_;  // while something is owed
     net::Listener listener_;
 };
 
