Use servers that have just started, and don't blame sound ones for bad requests

Cause: - No connection was ever opened to a new server (trace of links and feed; the feed told each one as up, with its start). schedule() in src/brain.cpp takes an unheard server for average, and with links near the limit nothing fits an average one; so it is never tried and never heard of.

Change: a told start counts as a reading of 0 of that time, older than any set-up note, which replaces it. An error counts against a server only where a session of the same title plays here, so that others could use it.

Checked: two module tests fail without the change.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -595,6 +595,15 @@
         if (server.fell) server.cold_since = now;
         server.fell = false;
     }
+    // Threat: requests that no server can use come back with errors, and would have sound servers left out.
+    // An error counts against the server only where its title plays, so that others could use it. May hurt
+    // where a faulty server is asked for rare titles alone.
+    bool plays(const Session& s) const {
+        if (!s.req.title) return true;
+        return std::any_of(sessions.begin(), sessions.end(), [&](const auto& entry) {
+            return entry.second.playing && entry.second.out && entry.second.req.title == s.req.title;
+        });
+    }
     bool stands_still(const Server& server) const {
         return server.share.as_of >= now - share_lives_s && server.share.value < dead_share;
     }
@@ -758,6 +767,8 @@
             server.link_kb = std::max(0.0, finite_or(set.weight_kb * entry.size, 0));
             if (entry.last_start && std::isfinite(*entry.last_start)) {
                 server.cold_since = std::max(server.cold_since, *entry.last_start);
+                // Its link carries nothing yet: taken for average among full ones, it would never be tried.
+                hear(server, 0, *entry.last_start);
             }
             // Rule 4: one who started after a server counts as told of its start, whatever an old list says.
             if (list.kind == ListKind::Restored) server.cold_since = std::max(server.cold_since, birth);
@@ -861,8 +872,9 @@
         if (server != nullptr) {
             // Rule 4: who sees a server break or stay unreachable knows of its next start.
             if (event.ending == Ending::Dropped || event.ending == Ending::DialFailed) server->fell = true;
-            const bool fault = event.ending == Ending::AppError || event.ending == Ending::Expired ||
-                               event.ending == Ending::Dropped || event.ending == Ending::DialFailed;
+            const bool fault = (event.ending == Ending::AppError && plays(*s)) ||
+                               event.ending == Ending::Expired || event.ending == Ending::Dropped ||
+                               event.ending == Ending::DialFailed;
             if (event.ending == Ending::Shed) server->full_until = now + full_s;
             if (!was_setup) server->full_until = never;
             const bool broke = event.ending == Ending::Dropped && now > server->last_failure + shun_base_s;
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <set>
 
 namespace cinderfront {
 namespace {
@@ -580,6 +581,16 @@
     EXPECT_EQ(sent_to(f.ask(60, 2)), 1U);
 }
 
+TEST(Readings, AServerThatHasJustStartedIsEmptyAndNotOfAverageUse) {
+    Front f = with_use(0.9);
+    ServerEntry fresh = entry(2, 1);
+    f.on(2, ServerList{ListKind::Update, {fresh}});
+    EXPECT_TRUE(refused(f.ask(2.1, 1)));  // unheard of: as full as the other one
+    fresh.last_start = 3;
+    f.on(3, ServerList{ListKind::Update, {fresh}});
+    EXPECT_EQ(sent_to(f.ask(3.1, 2)), 2U);
+}
+
 TEST(Readings, AFullLinkShareIsAFloorNotAValue) {
     Settings s = base_settings();
     s.classes[0].floor = 2;
@@ -602,6 +613,38 @@
     }
 }
 
+TEST(Health, AnErrorCountsAgainstTheServerOnlyWhereItsTitlePlays) {
+    const auto blames = [](std::uint64_t title) {
+        Settings s = base_settings();
+        s.classes[0].semantics = Semantics::NonIdempotent;
+        Front f(s);
+        f.servers(0, {1, 2, 3});
+        const auto ask = [&](std::uint64_t id, std::uint64_t of_title, std::uint32_t holders) {
+            Request r;
+            r.id = id;
+            r.title = of_title;
+            r.holders = holders;
+            r.ceiling = 2;
+            r.not_after = 9;
+            return sent_to(f.on(1, NewRequest{r}));
+        };
+        EXPECT_EQ(ask(1, 7, 1), 1U);
+        f.starts(1.1, 1, 1, 0.1);
+        const auto server = ask(2, title, 4);
+        EXPECT_TRUE(server.has_value());
+        f.ends(1.2, 2, *server, Ending::AppError);
+        std::set<std::uint32_t> used;
+        for (std::uint64_t id = 10; id < 30; ++id) {
+            const auto next = ask(id, 7, 4);
+            if (next) used.insert(*next);
+            if (next) f.ends(1.2, id, *next, Ending::Shed);
+        }
+        return !used.contains(*server);
+    };
+    EXPECT_TRUE(blames(7));
+    EXPECT_FALSE(blames(8));
+}
+
 TEST(Health, AFullServerIsLeftOutForAMomentButNotSuspected) {
     Front f(base_settings());
     f.servers(0, {1, 2});
