Give viewers room faster, end connections that can't go on, price only real wants

Cause, from a trace of each viewers' connection and each refusal: - 39 had sent a message of type 123, which take() passed over in silence. - At the bound make_room closed one connection each 20 ms and counted it until its viewer had closed too: 50 newcomers a second at most, where some 70 came. The others waited out their 3 s in the backlog. - place() counted each refusal as something wanted, also of titles that no server has, so the price rose and rungs fell for all. Ruled out: the connections to servers (3 ended, all reset), time-outs.

Change: a type that there is not ends its connection. Connections that close are counted apart, up to a quarter more, so that a newcomer is taken at once; served viewers' connections go last. A refusal counts as wanted where the title plays.

Checked: new scenarios and a module test fail without the change.

--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -25,7 +25,9 @@
 constexpr double stale_part = 0.7, idle_part = 0.6;
 constexpr double look_every_s = 0.25, retry_s = 0.25, probe_timeout_s = 1.0;
 constexpr double quiet_slack_s = 0.7;  // over the time in which a server with sessions should have spoken
-constexpr int vain_connects = 2;       // that time out in a row before a silent machine counts as gone
+// A line must be whole so long after its first bytes, s: one that stops short is not an answer that is late.
+constexpr double whole_within_s = 0.5;
+constexpr int vain_connects = 2;  // that time out in a row before a silent machine counts as gone
 
 Ending ending_of_attempt(const ServerMessage& message) {
     switch (message.cause.value_or(0)) {
@@ -84,6 +86,7 @@
         : server(number),
           used(net::unix_now()),
           all_(all),
+          patience_(all.loop_),
           connection(all.loop_, all.pool_, *this, address, all.limits_.connect_timeout) {}
 
     void opened(Connection&) override {
@@ -103,13 +106,18 @@
                 const auto decoded = codec::decode_server(bytes.substr(taken));
                 if (!decoded) break;
                 taken += decoded->size;
+                patience_.cancel();
                 all_.take(*this, decoded->message);
             }
         } catch (const codec::CodecError& error) {
             // A peer that can't be read ends its own connection only.
-            log_line("server " + std::to_string(server) + ": " + error.what());
-            connection.close();
-            all_.link_ended(*this, Connection::End::Reset);
+            break_off(error.what());
+            return taken;
+        }
+        // Guards against a line that stops short: what comes after it on this connection can't be told from
+        // it.
+        if (taken < bytes.size() && !patience_.is_set()) {
+            patience_.set(net::unix_now() + whole_within_s, [this] { break_off("a line stops short"); });
         }
         return taken;
     }
@@ -123,7 +131,15 @@
     bool leaving = false;          // being closed from here
 
 private:
+    void break_off(const std::string& why) {
+        log_line("server " + std::to_string(server) + ": " + why);
+        patience_.cancel();
+        connection.close();
+        all_.link_ended(*this, Connection::End::Reset);
+    }
+
     ServerLinks& all_;
+    net::Timer patience_;
 
 public:
     Connection connection;  // last: it may not call back before the rest is there
@@ -254,8 +270,11 @@
         const auto it = entries_.find(id);
         if (it != entries_.end()) it->second.link = nullptr;
     }
-    // A server at its cap of connections refuses too, but keeps those that it has.
-    if (why == Connection::End::Refused && talking_link(at, nullptr) == nullptr) all_over(number);
+    // A server at its cap of connections refuses too, but keeps those that it has; one that has left the list
+    // and refuses is gone, though it may not have closed them.
+    const KnownServer* known = directory_.find(number);
+    const bool left = known == nullptr || known->entry.state == cinderfront::ServerState::Gone;
+    if (why == Connection::End::Refused && (left || talking_link(at, nullptr) == nullptr)) all_over(number);
     if (why == Connection::End::TimedOut && ++at.vain >= vain_connects && quiet(at)) all_over(number);
     for (const SessionId id : sessions) {
         const auto it = entries_.find(id);
--- a/src/agent/viewer_side.cpp
+++ b/src/agent/viewer_side.cpp
@@ -122,6 +122,7 @@
     void ended(Connection&, Connection::End) override { side_.peer_ended(*this); }
 
     double used;                // last traffic
+    bool closing = false;       // from here: it waits for the viewer's close
     bool spoke = false;         // a whole message has come
     bool proven = false;        // and what only a viewer does: it was served, or has heard of an end
     int faults = 0;             // set-ups that nobody can serve
@@ -142,12 +143,13 @@
 };
 
 ViewerSide::ViewerSide(net::Loop& loop, net::BufferPool& pool, ViewerEvents& events, const Profile& profile,
-                       const net::Address& listen, std::size_t connections)
+                       const net::Address& listen, std::size_t connections, std::size_t closing)
     : loop_(loop),
       pool_(pool),
       events_(events),
       profile_(profile),
       most_(connections),
+      closing_most_(closing),
       again_(loop),
       listener_(loop, listen,
                 {[this](net::Fd fd) { accepted(std::move(fd)); }, [this] { return make_room(); },
@@ -159,7 +161,7 @@
 ViewerSide::~ViewerSide() = default;
 
 void ViewerSide::finish() {
-    for (const auto& [key, peer] : peers_) peer->connection.finish();
+    for (const auto& [key, peer] : peers_) close(*peer);
 }
 
 void ViewerSide::accepted(net::Fd fd) {
@@ -168,25 +170,38 @@
 }
 
 // Keeps the viewers' part of the descriptors. At the bound, connections on which nothing has come yet go at
-// once, all of them: they may come by the hundred. Else the one that rested longest and has no set-up open is
-// closed for a new one.
+// once, all of them: they may come by the hundred. Else one that rests and has no set-up open is closed for a
+// new one: first the one that rested longest of those on which nobody was served.
 bool ViewerSide::make_room() {
-    if (peers_.size() < most_) return true;
+    // Those that are closing are not counted, so that newcomers need not wait for the last word of the
+    // others; but each still holds a descriptor.
+    const bool full = peers_.size() - closing_ >= most_;
+    if (closing_ < closing_most_ && !full) return true;
     const double now = net::unix_now();
-    std::vector<Peer*> unheard;
-    Peer* oldest = nullptr;
+    std::vector<Peer*> gone;  // closed at once: nothing was said there, or it has had its time to close
+    Peer* first = nullptr;
+    const auto rank = [](const Peer& peer) { return std::pair(peer.proven, peer.used); };
     for (const auto& [key, peer] : peers_) {
-        if (!peer->spoke && peer->used < now - unheard_s) unheard.push_back(peer.get());
-        if (!peer->open.empty() || !peer->connection.is_open()) continue;
-        if (oldest == nullptr || peer->used < oldest->used) oldest = peer.get();
+        const bool at_once = peer->closing || (full && !peer->spoke);
+        if (at_once && peer->used < now - unheard_s) gone.push_back(peer.get());
+        if (!peer->connection.is_open()) continue;
+        if (!peer->open.empty() || peer->used >= now - rested_s) continue;
+        if (first == nullptr || rank(*peer) < rank(*first)) first = peer.get();
     }
-    for (Peer* peer : unheard) {
+    for (Peer* peer : gone) {
         peer->connection.close();
         peer_ended(*peer);
     }
-    if (!unheard.empty()) return true;
-    if (oldest != nullptr && oldest->used < now - rested_s) oldest->connection.finish();
-    return false;
+    if (gone.empty() && full && first != nullptr && closing_ < closing_most_) close(*first);
+    return closing_ < closing_most_ && peers_.size() - closing_ < most_;
+}
+
+void ViewerSide::close(Peer& peer) {
+    if (!peer.connection.is_open()) return;
+    peer.closing = true;
+    peer.used = net::unix_now();
+    ++closing_;
+    peer.connection.finish();
 }
 
 void ViewerSide::take(Peer& peer, const ViewerMessage& message) {
@@ -206,6 +221,8 @@
     } else if (message.is(ViewerType::Test)) {
         // `known` was taken in before the first connection could come: this agent is ready.
         peer.connection.send(encode(word(ViewerType::TestResult, message.session, test_passed)));
+    } else if (!codec::is_known(message.type)) {
+        codec::malformed("a message of a type that there is not");
     }
 }
 
@@ -259,7 +276,7 @@
         failed(id);
         events_.given_up(id);
     }
-    peer.connection.finish();
+    close(peer);
 }
 
 void ViewerSide::peer_ended(Peer& peer) {
@@ -267,6 +284,7 @@
     if (it == peers_.end()) return;
     loop_.retire(it->second);
     peers_.erase(it);
+    closing_ -= peer.closing ? 1 : 0;
     for (const SessionId id : peer.known) asked_on_.erase(id);
     // Guards against a word that crossed the viewer's close and was never read: it is said once more.
     for (auto& [id, owed] : owed_) {
--- a/src/agent/viewer_side.h
+++ b/src/agent/viewer_side.h
@@ -18,9 +18,10 @@
 
 class ViewerSide : public ViewerPort {
 public:
-    // At most `connections` viewers' connections are held.
+    // At most `connections` viewers' connections are held, and `closing` more that wait for the viewer's
+    // close.
     ViewerSide(net::Loop& loop, net::BufferPool& pool, ViewerEvents& events, const Profile& profile,
-               const net::Address& listen, std::size_t connections);
+               const net::Address& listen, std::size_t connections, std::size_t closing);
     ~ViewerSide();
 
     net::Address address() const { return listener_.address(); }
@@ -50,6 +51,7 @@
     bool remember(SessionId id);
     void peer_ended(Peer& peer);
     void break_off(Peer& peer);
+    void close(Peer& peer);
     void answer(SessionId id, const codec::ViewerMessage& message);
     void owe(SessionId id, const codec::ViewerMessage& message);
     void say(Owed& owed, Peer* to);
@@ -60,7 +62,8 @@
     net::BufferPool& pool_;
     ViewerEvents& events_;
     const Profile& profile_;
-    const std::size_t most_;
+    const std::size_t most_, closing_most_;
+    std::size_t closing_ = 0;
     std::map<const Peer*, std::shared_ptr<Peer>> peers_;
     std::unordered_map<SessionId, Peer*> asked_on_;  // of open set-ups and of sessions that stand
     std::unordered_set<SessionId> seen_;             // ids of set-ups taken lately
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -596,8 +596,8 @@
         server.fell = false;
     }
     // Threat: requests that no server can use come back with errors, and would have sound servers left out.
-    // An error counts against the server only where its title plays, so that others could use it. May hurt
-    // where a faulty server is asked for rare titles alone.
+    // An error counts against the server only where its title plays, so that others could use it, and so does
+    // a refusal as something wanted. May hurt where a faulty server is asked for rare titles alone.
     bool plays(const Session& s) const {
         if (!s.req.title) return true;
         return std::any_of(sessions.begin(), sessions.end(), [&](const auto& entry) {
@@ -636,7 +636,7 @@
         Server* server = choose(s, rung);
         while (server == nullptr && rung > cls(s).floor) server = choose(s, --rung);
         if (server != nullptr) return send(s, *server, rung);
-        turned_away.push_back({now, s.req.cls, top, 1});
+        if (plays(s)) turned_away.push_back({now, s.req.cls, top, 1});  // others could not be served for less
         end(s);
     }
 
--- a/src/codec/viewer_codec.cpp
+++ b/src/codec/viewer_codec.cpp
@@ -103,6 +103,23 @@
 
 }  // namespace
 
+bool is_known(std::uint8_t type) {
+    switch (static_cast<ViewerType>(type)) {
+        case ViewerType::SetUp:
+        case ViewerType::Progress:
+        case ViewerType::Answer:
+        case ViewerType::Release:
+        case ViewerType::ReleaseHeard:
+        case ViewerType::Note:
+        case ViewerType::Move:
+        case ViewerType::Test:
+        case ViewerType::TestResult:
+        case ViewerType::Rung:
+            return true;
+    }
+    return false;
+}
+
 std::optional<Decoded<ViewerMessage>> decode_viewer(std::string_view bytes) {
     if (bytes.size() < length_size) return std::nullopt;
     const std::size_t length = Reader(bytes).number(length_size);
--- a/src/codec/viewer_codec.h
+++ b/src/codec/viewer_codec.h
@@ -20,6 +20,8 @@
     Rung = 60,
 };
 
+bool is_known(std::uint8_t type);  // one of the above
+
 struct ViewerMessage {
     std::uint8_t type = 0;  // a ViewerType, or one that this program does not know
     std::uint64_t session = 0;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -99,7 +99,7 @@
     });
 
     constexpr std::size_t spare = 24;  // standard streams, listener, feed, signals, and some to breathe
-    const std::size_t viewers_most = config.descriptors / 3;
+    const std::size_t viewers_most = config.descriptors / 3, closing_most = viewers_most / 4;
     const cinderfront::Settings& settings = config.profile.settings;
     agent::LinkLimits limits;
     constexpr double usual_connect_timeout = 0.25;
@@ -108,13 +108,14 @@
     limits.connect_timeout = profile.connect_timeout > 0 ? profile.connect_timeout : usual_connect_timeout;
     limits.conn_idle = profile.conn_idle;
     limits.streams_per_conn = profile.streams_per_conn > 0 ? profile.streams_per_conn : usual_streams;
-    limits.connections = config.descriptors - viewers_most - std::min(spare, config.descriptors / 3);
+    const std::size_t kept = viewers_most + closing_most + std::min(spare, config.descriptors / 4);
+    limits.connections = config.descriptors - kept;
     limits.note_every = settings.told_every;
     limits.note_late = settings.told_late;
 
     agent::SessionTable sessions(loop, settings, config.seed, config.directory);
     agent::ServerLinks servers(loop, pool, sessions, config.directory, limits);
-    agent::ViewerSide viewers(loop, pool, sessions, profile, config.listen, viewers_most);
+    agent::ViewerSide viewers(loop, pool, sessions, profile, config.listen, viewers_most, closing_most);
     sessions.connect(viewers, servers);
     sessions.listed(config.directory.restored());
     agent::FeedClient feed(loop, pool, config.feed, profile, config.known_number,
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -448,6 +448,37 @@
     EXPECT_EQ(rungs(out).at(1), 2);
 }
 
+TEST(Scarcity, WhatNobodyCouldUseIsNotCountedAsWanted) {
+    const auto rungs_after = [](std::uint64_t refused_title) {
+        Front f(base_settings());
+        f.servers(0, {1, 2, 3, 4});
+        const auto request = [](std::uint64_t id, std::uint64_t title, int ceiling) {
+            Request r = playing(id, ceiling);
+            r.title = title;
+            r.not_after = 9;
+            return r;
+        };
+        for (std::uint64_t id = 100; id < 120; ++id) {
+            const std::uint32_t server = 1 + id % 4;
+            f.on(0, TakenOver{request(id, 7, 0), server});
+            f.on(0, Note{id, NoteKind::Rung, 0, server, 0});
+            f.on(2, Note{id, NoteKind::Link, 0, server, 1.0});
+        }
+        for (std::uint64_t id = 1; id < 40; ++id) {
+            EXPECT_TRUE(refused(f.on(2, NewRequest{request(id, refused_title, 2)})));
+        }
+        for (std::uint64_t id = 100; id < 104; ++id) {
+            f.on(2.5, Note{id, NoteKind::Link, 0, static_cast<std::uint32_t>(1 + id % 4), 0.5});
+        }
+        int sum = 0;  // one for each server
+        for (std::uint64_t id = 50; id < 54; ++id) {
+            sum += rungs(f.on(2.6, NewRequest{request(id, 7, 2)}))[id];
+        }
+        return sum;
+    };
+    EXPECT_GT(rungs_after(8), rungs_after(7));
+}
+
 TEST(Scarcity, TheRackIsUnderTheSameTest) {
     Settings s = base_settings();
     s.classes[0].floor = 2;
--- a/tests/scenarios/program_test.cpp
+++ b/tests/scenarios/program_test.cpp
@@ -464,6 +464,8 @@
         v2 send raw=0017
         v1 expect closed
         v2 expect closed
+        v3 send raw=00097b0000000000000005     # whole, of a type that there is not
+        v3 expect closed
     )"),
              "");
 }
@@ -487,6 +489,31 @@
              "");
 }
 
+TEST_CASE("a server's line that stops short ends its connection") {
+    CHECK_EQ(play(R"(
+        agent send start
+        v1 send setup 5 class=paid wait=60000
+        s1 expect START 5
+        s1 send part={"verb":"STARTED","tag":"00
+        v1 expect release 5 cause=41
+        agent expect log=short
+    )"),
+             "");
+}
+
+TEST_CASE("a server that has left the list and refuses is gone, though its connection stays open") {
+    CHECK_EQ(play(R"(
+        agent send start told=0.3
+        feed expect after=1
+        stands 5
+        s1 refuse
+        v1 expect nothing 2                    # as a server at its cap of connections refuses
+        feed send n=2 s1=removed
+        v1 expect release 5 cause=41
+    )"),
+             "");
+}
+
 TEST_CASE("a description that no line can hold is refused, not sent") {
     CHECK_EQ(play(R"(
         agent send start
--- a/tests/scenarios/scenario.cpp
+++ b/tests/scenarios/scenario.cpp
@@ -144,6 +144,7 @@
 
 std::string server_bytes(const Words& words) {
     if (words[0].starts_with("raw=")) return bytes_of("hex:" + words[0].substr(4)) + "\n";
+    if (words[0].starts_with("part=")) return join(words).substr(5);
     if (words[0].starts_with("text=")) return join(words).substr(5) + "\n";
     codec::ServerMessage m;
     m.verb = server_verbs.at(words[0]);
@@ -484,6 +485,7 @@
             server.drop(true);
             return server.fd.reset();
         }
+        if (verb == "refuse") return server.fd.reset();
         if (verb == "deaf") return server.go_deaf();
         if (verb == "hear") return server.hear_again();
         if (verb == "send") return server.talking().write(server_bytes(rest));
--- a/tests/scenarios/scenario.h
+++ b/tests/scenarios/scenario.h
@@ -9,10 +9,11 @@
 //   v1 send setup 7 class=free wait=900  a viewers' message; also test, release, ...; raw=HEX for any bytes
 //   v1 expect answer 7 body=there        the next message, with at least these fields
 //   s1 expect START 7 rung=1             the same for a server, whose messages may come on any connection
-//   s1 send STARTED 7 blob=there
+//   s1 send STARTED 7 blob=there         also text=LINE as it stands, part=TEXT without its line feed
 //   feed expect after=3, feed send n=4 s1=draining, feed send comment
 //   X expect nothing 0.3, X expect closed, X close, X reset, v1 flood
 //   s1 deaf, s1 hear                     new connections to it stay silent; come up again
+//   s1 refuse                            new connections are refused, those that it has stay open and silent
 //   stands 7                             v1 has asked for session 7, and it plays at s1
 //   wait 0.2
 //   viewer-codec, server-codec, feed-codec: `send` bytes in single steps, `expect` what they mean
