--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -22,7 +22,7 @@
     Listener(const Listener&) = delete;
     Listener& operator=(const Listener&) = delete;
 
-    Address address() const;                             // with the port that the kernel gave
+    Address address() const;  // with the port that the kernel gave
 
 private:
     void ready(short events) override;
