--- a/include/cinderfront/controller.h
+++ b/include/cinderfront/controller.h
@@ -45,10 +45,12 @@
     double over_share_worth = 0;
     double goal_whole = 0, goal_worst_window = 0, goal_worst_class = 0, goal_worst_tenant = 0;
     double price_cross_zone = 0, price_late_fail = 0, price_moves = 0, price_peer = 0, price_probe = 0;
+    double price_handshake = 0;  // for each new connection to a server, per session asked for
     bool list_on_request = false;
     bool can_cancel = false, can_probe = false, can_message = false, can_advise_retry = false;
     std::uint32_t try_limit = 0;
     double max_retry_after = 0, round = 0;
+    double conn_idle = 0;  // s; servers close connections that rest so long
     double answer_slack = 0, must_ask_in = 0, drain_grace = 0;
     double cold = 0, cold_from = 0, fall = 0, fall_multiple = 0;
     std::optional<double> spare_attempts, resend_ratio, look_back;  // told where attempts are rationed
--- a/src/agent/settings.cpp
+++ b/src/agent/settings.cpp
@@ -256,6 +256,8 @@
              {"penalties.moves", s.price_moves},
              {"penalties.peer", s.price_peer},
              {"penalties.probe", s.price_probe},
+             {"penalties.handshake", s.price_handshake},
+             {"limits.conn_idle", s.conn_idle},
              {"limits.max_retry_after", s.max_retry_after},
              {"round", s.round},
              {"obligations.answer_slack", s.answer_slack},
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -47,6 +47,10 @@
 constexpr double doubt_part = 0.5;
 // A server that sheds is full of streams: left out so long, or until a session of this front ends there, s.
 constexpr double full_s = 1.0;
+// A large fleet: so many draws for each holder a front has to itself; at least; up to four fronts see them all.
+constexpr double draws_each = 4, least_draws = 2;
+// Part of the time after which an idle connection is closed in which this front's own surely still stands.
+constexpr double connected_part = 0.5;
 // Part used of this front's share of a cold server's budget: set-ups differ in work, and clocks in rounds.
 constexpr double cold_margin = 0.8;
 // Scarcity: a refused viewer counts as wanting for so long, s (most are back then); halvings of the search.
@@ -125,6 +129,7 @@
     int failures = 0;                  // set-ups failed in a row
     double last_failure = never, shun_until = never;
     int setting_up = 0;
+    double left = never;               // this front's last session there ended
     double full_until = never;
 };
 
@@ -626,7 +631,7 @@
     };
     std::deque<Turned> turned_away;
 
-    using Candidate = std::tuple<bool, bool, double, std::uint64_t, std::uint32_t>;
+    using Candidate = std::tuple<bool, bool, bool, std::uint64_t, double, std::uint32_t>;
 
     void place(Session& s) {
         const int top = top_rung(s);
@@ -641,8 +646,22 @@
         end(s);
     }
 
-    // The holder with most room, of rack and link, among those where the session fits; ties at random. A
-    // candidate: tried before, looks bad, room (negative), tie, server.
+    // Threat: a hundred fronts that each spread few sessions over all servers open a connection for nearly
+    // every session, and where handshakes have a price it adds up. Such a front keeps to the servers that it
+    // is connected to, as far as sessions fit there. May hurt where those are all fuller than the others.
+    bool apart(const Server& server) const {
+        return set.price_handshake > 0 && server.sessions.empty() &&
+               now > server.left + connected_part * set.conn_idle;
+    }
+    // Threat: many fronts that see one emptiest server, or one that has just started, all fill it before they
+    // hear of each other. Each front draws as many holders as its part of the fleet is worth, and compares these.
+    std::size_t draws(double holders) const {
+        const double own = draws_each * holders / std::max(1U, set.fronts);
+        return static_cast<std::size_t>(std::ceil(std::max(least_draws, own)));
+    }
+
+    // The holder with most room, of rack and link, among those drawn where the session fits; ties at random.
+    // A candidate: tried before, looks bad, not connected, order of drawing, room, server.
     Server* choose(const Session& s, int rung) {
         std::map<const Rack*, double> rooms;
         std::vector<Candidate> order;
@@ -657,12 +676,20 @@
             const double most = std::min(room(server, link_limit), rooms[&rack]);
             if (heard_any && added_rate(s, rung, server) > most) continue;
             const bool again = std::find(s.tried.begin(), s.tried.end(), id) != s.tried.end();
-            order.emplace_back(again, looks_bad(server), -most, random(), id);
+            order.emplace_back(again, looks_bad(server), apart(server), random(), most, id);
         }
         if (bad <= doubt_part * holders)
             std::erase_if(order, [](const Candidate& c) { return std::get<1>(c); });
-        const auto best = std::min_element(order.begin(), order.end());
-        return best == order.end() ? nullptr : find_server(std::get<4>(*best));
+        std::sort(order.begin(), order.end());
+        const auto kind = [](const Candidate& c) {
+            return std::tuple(std::get<0>(c), std::get<1>(c), std::get<2>(c));
+        };
+        std::erase_if(order, [&, first = order](const Candidate& c) { return kind(c) != kind(first.front()); });
+        order.resize(std::min(order.size(), draws(holders)));
+        const auto best = std::max_element(order.begin(), order.end(), [](const auto& a, const auto& b) {
+            return std::get<4>(a) < std::get<4>(b);
+        });
+        return best == order.end() ? nullptr : find_server(std::get<5>(*best));
     }
 
     // How long an attempt may take: leaves time for one more inside the aim, unless none may follow.
@@ -718,6 +745,7 @@
         s.out = false;
         Server* server = find_server(s.server);
         if (server == nullptr || server->sessions.erase(s.req.id) == 0) return;
+        server->left = now;
         if (!s.playing) --server->setting_up;
         if (s.playing) server->ended.push_back({now, s.rate, s.since});
         forget_if_idle(s.server);
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -321,6 +321,50 @@
     }
 }
 
+TEST(Fleet, AHundredFrontsDoNotAllFillTheOneServerThatLooksEmptiest) {
+    Settings s = base_settings();
+    s.cells = 60;
+    s.racks = 0;
+    const auto to_the_roomy_one = [&](std::uint32_t fronts) {
+        Fleet fleet(s, fronts);
+        int there = 0;
+        for (Front& f : fleet.fronts) {
+            ServerList list{ListKind::Restored, {}};
+            for (std::uint32_t id = 1; id <= 60; ++id) list.entries.push_back(entry(id, id % 4));
+            list.entries[6].size = 2;
+            f.on(0, list);
+            there += sent_to(f.ask(1, 1)) == 7U;
+        }
+        return there;
+    };
+    EXPECT_LE(to_the_roomy_one(100), 15);  // 1 in 30 draws it
+    EXPECT_EQ(to_the_roomy_one(4), 4);     // few fronts see all
+}
+
+TEST(Fleet, WhereHandshakesHaveAPriceAFrontKeepsToConnectedServersWhileSessionsFit) {
+    Settings s = base_settings();
+    s.fronts = 100;
+    s.conn_idle = 15;
+    const auto next_goes_to = [&](double price, double use, double pause) {
+        s.price_handshake = price;
+        Front f(s);
+        f.servers(0, {1, 2, 3, 4});
+        const auto first = sent_to(f.ask(1, 1, 0));
+        f.starts(1.1, 1, *first, use);
+        if (pause > 0) f.ends(1.5, 1, *first, Ending::Delivered);
+        std::set<bool> same;
+        for (std::uint64_t id = 2; id <= 5; ++id) {
+            same.insert(sent_to(f.ask(1.2 + pause, id, 0)) == first);
+            f.on(1.2 + pause, Abandoned{id});
+        }
+        return same;
+    };
+    EXPECT_EQ(next_goes_to(0.08, 0.3, 0), std::set<bool>{true});
+    EXPECT_EQ(next_goes_to(0.08, 0.3, 5), std::set<bool>{true});    // the connection stands yet
+    EXPECT_EQ(next_goes_to(0.08, 0.85, 0).count(true), 0U);         // full
+    EXPECT_EQ(next_goes_to(0, 0.3, 0), (std::set<bool>{false, true}));
+}
+
 // A hundred fronts with one session each at server 1, which is told to be asked for `link` of its link.
 int steps_of_all(double link, int rung, bool delivered) {
     Settings s = base_settings();
