Compare four drawn holders at least, and count connects cut short as failed

At fault: SessionTable::withdraw() reported every attempt that was not written as Unused, which the module holds against no server. One that was connecting is now DialFailed, which proves as well that nothing ran; one that waited otherwise stays Unused.

Two drawn holders were few: of four, one with room is found more often.

A scenario fails without the change in src/agent: a set-up goes to the dead server again.

--- a/src/agent/seam.h
+++ b/src/agent/seam.h
@@ -46,12 +46,15 @@
     double give_up_at = 0;
 };
 
+// How far an attempt had come that is given up. Only what was sent may have run.
+enum class GivenUp { Queued, Connecting, Sent };
+
 // Towards the servers.
 class ServerPort {
 public:
     virtual void set_up(const Attempt& attempt) = 0;  // exactly one started() or attempt_ended() follows
-    // ... unless it is given up before. Tells whether anything of it went out, so that it may have run.
-    virtual bool give_up(SessionId id) = 0;
+    // ... unless it is given up before.
+    virtual GivenUp give_up(SessionId id) = 0;
     virtual void set_rung(SessionId id, int rung) = 0;
     virtual void end_session(SessionId id) = 0;
     virtual void adopt(SessionId id, ServerNumber server) = 0;  // a session that plays there already
--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -392,14 +392,15 @@
     entries_.erase(it);
 }
 
-bool ServerLinks::give_up(SessionId id) {
+GivenUp ServerLinks::give_up(SessionId id) {
     const auto it = entries_.find(id);
-    if (it == entries_.end()) return false;
+    if (it == entries_.end()) return GivenUp::Queued;
     const Entry entry = it->second;
+    const bool connecting = entry.link != nullptr && !entry.link->connection.is_open();
     erase(id);
-    if (entry.state == State::Queued) return false;
+    if (entry.state == State::Queued) return connecting ? GivenUp::Connecting : GivenUp::Queued;
     speak(entry.attempt.server, entry.link, word(ServerVerb::Finish, id, cause_ok));
-    return true;
+    return GivenUp::Sent;
 }
 
 void ServerLinks::set_rung(SessionId id, int rung) {
--- a/src/agent/server_links.h
+++ b/src/agent/server_links.h
@@ -38,7 +38,7 @@
     bool holds(ServerNumber number);
 
     void set_up(const Attempt& attempt) override;
-    bool give_up(SessionId id) override;
+    GivenUp give_up(SessionId id) override;
     void set_rung(SessionId id, int rung) override;
     void end_session(SessionId id) override;
     void adopt(SessionId id, ServerNumber server) override;
--- a/src/agent/session_table.cpp
+++ b/src/agent/session_table.cpp
@@ -203,8 +203,11 @@
 // Takes the attempt back: the server is told, and the module.
 void SessionTable::withdraw(SessionId id, Session& session, Ending how) {
     if (session.phase == Phase::Standing) return;
-    const bool sent = servers_->give_up(id);
-    end_attempt(id, sent ? how : Ending::Unused, {});
+    const GivenUp was = servers_->give_up(id);
+    // Guards against a dead machine that goes unsuspected: where the time allowed is shorter than a connect
+    // may take, the connect never fails by itself, and each set-up would be tried there again.
+    const bool dialled_in_vain = was == GivenUp::Connecting && how == Ending::Expired;
+    end_attempt(id, was == GivenUp::Sent ? how : dialled_in_vain ? Ending::DialFailed : Ending::Unused, {});
 }
 
 void SessionTable::drop_if_done(SessionId id) {
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -49,9 +49,9 @@
 // A server that sheds is full of streams: left out so long, or until a session of this front ends there, s.
 constexpr double full_s = 1.0;
 // Up to so many fronts are few: each sees much of each server. A front draws so many holders for each that it
-// has to itself, so that few see all; at least so many.
+// has to itself, so that few see all, and as many where it has not even one to itself.
 constexpr std::uint32_t few_fronts = 4;
-constexpr double draws_each = few_fronts, least_draws = 2;
+constexpr double draws_each = few_fronts;
 // Many fronts: how steeply the price of a kB rises with the fullness of a link.
 constexpr double local_gain = 1;
 // Part of the time after which an idle connection is closed in which this front's own surely still stands.
@@ -237,7 +237,7 @@
     // rises: its first slot is its fullest, and the test of that slot is the test of all.
     double schedule(const Server& server) const {
         double told = heard(server) ? server.link.value : average;
-        // Threat: many fronts keep to where they are, and a server that has started stays empty, unheard of. It
+        // Threat: many fronts keep to where they are, and one that has started stays empty, unheard of: so it
         // is taken to fill over a session's length.
         const double age = now - server.entry.last_start.value_or(never);
         if (many() && server.sessions.empty() && age < mean_life) told = average * age / mean_life;
@@ -702,8 +702,8 @@
     // Threat: many fronts that see one emptiest server, or one that has just started, all fill it before they
     // hear of each other. Each front compares only as many drawn holders as its part of the fleet is worth.
     std::size_t draws(double holders) const {
-        const double own = draws_each * holders / std::max(1U, set.fronts);
-        return static_cast<std::size_t>(std::ceil(std::max(least_draws, own)));
+        const double own = holders / std::max(1U, set.fronts);
+        return static_cast<std::size_t>(std::ceil(draws_each * std::max(1.0, own)));
     }
 
     // The drawn holder where the session is worth most, and its rung there: the price of a kB rises with how
--- a/tests/scenarios/program_test.cpp
+++ b/tests/scenarios/program_test.cpp
@@ -179,6 +179,25 @@
              "");
 }
 
+TEST_CASE("a connect cut short by the time allowed for the attempt speaks against its host") {
+    CHECK_EQ(play(R"(
+        agent send start connect=10
+        s1 deaf
+        v1 send setup 5 class=free wait=900 home=0 copies=1
+        v1 expect release 5
+        v1 send setup 6 class=free home=0 copies=2
+        s2 expect START 6
+        s2 send STARTED 6
+        v1 send setup 7 class=free home=0 copies=2
+        s2 expect START 7
+        s2 send STARTED 7
+        v1 send setup 8 class=free home=0 copies=2
+        s2 expect START 8
+        s2 send STARTED 8
+    )"),
+             "");
+}
+
 TEST_CASE("a machine that vanishes takes its sessions along") {
     CHECK_EQ(play(R"(
         agent send start told=0.3
