--- a/examples/try_it/toy_server.cpp
+++ b/examples/try_it/toy_server.cpp
@@ -81,7 +81,7 @@
             reply.verb = ServerVerb::Started;
             reply.description = "played by the toy server";
             connection.send(encode(reply));
-            sessions_[id] = loop_.deadlines().add(net::unix_now() + plays_s_, [this, id] { over(id); });
+            sessions_[id] = loop_.deadlines().add(loop_.now() + plays_s_, [this, id] { over(id); });
             note();
         } else if (message.verb == ServerVerb::Finish) {
             std::printf("session %s is ended by the agent\n", codec::to_hex(id).c_str());
@@ -132,7 +132,7 @@
 private:
     void tick() {
         say(": still here\n\n");
-        loop_.deadlines().add(net::unix_now() + 1, [this] { tick(); });
+        loop_.deadlines().add(loop_.now() + 1, [this] { tick(); });
     }
 };
 
@@ -143,7 +143,8 @@
         const auto argument = [&](int i, const char* usual) {
             return std::string(argc > i ? argv[i] : usual);
         };
-        net::Loop loop;
+        net::SystemKernel kernel;
+        net::Loop loop(kernel);
         LessonServer server(loop, argument(1, "127.0.0.1:2906"),
                             std::strtod(argument(3, "5").c_str(), nullptr));
         Feed feed(loop, argument(2, "127.0.0.1:4222"));
--- a/examples/try_it/toy_viewer.cpp
+++ b/examples/try_it/toy_viewer.cpp
@@ -22,7 +22,7 @@
 ViewerMessage set_up(const std::string& class_name) {
     ViewerMessage message;
     message.type = static_cast<std::uint8_t>(ViewerType::SetUp);
-    message.session = static_cast<std::uint64_t>(net::unix_now() * 1e6);
+    message.session = static_cast<std::uint64_t>(net::SystemKernel().now() * 1e6);
     message.class_name = class_name;
     message.wait_ms = 4000;
     message.title = "7f3a9c21e0b4d655";
--- /dev/null
+++ b/src/agent/agent.cpp
@@ -0,0 +1,93 @@
+#include "agent.h"
+
+#include <algorithm>
+
+namespace jasperspread::agent {
+namespace {
+
+// After SIGTERM new set-ups keep coming for 0.6 s or so, and none may be lost: no end before this, s.
+constexpr double stay_least = 0.9;
+// Sessions that play are worth staying for. SIGKILL comes no sooner than the longest deadline, 3 s at most,
+// and 0.7 s after SIGTERM: so long after that deadline the program goes by itself, s.
+constexpr double longest_counted = 3.0, stay_over_deadline = 0.4;
+constexpr double look_every = 0.05, last_words = 0.2;
+constexpr std::size_t spare = 24;  // standard streams, listener, feed, signals, and some to breathe
+// Where the settings don't tell, s and sessions.
+constexpr double usual_connect_timeout = 0.25;
+constexpr std::size_t usual_streams = 32;
+
+std::size_t viewers_most(const Config& config) {
+    return config.descriptors / 2;
+}
+std::size_t closing_most(const Config& config) {
+    return config.descriptors / 8;
+}
+
+}  // namespace
+
+LinkLimits Agent::link_limits() const {
+    const Profile& profile = config_.profile;
+    LinkLimits limits;
+    limits.connect_timeout = profile.connect_timeout > 0 ? profile.connect_timeout : usual_connect_timeout;
+    limits.conn_idle = profile.conn_idle;
+    limits.streams_per_conn = profile.streams_per_conn > 0 ? profile.streams_per_conn : usual_streams;
+    const std::size_t kept =
+        viewers_most(config_) + closing_most(config_) + std::min(spare, config_.descriptors / 4);
+    limits.connections = config_.descriptors - kept;
+    limits.note_every = profile.settings.told_every;
+    limits.note_late = profile.settings.told_late;
+    return limits;
+}
+
+Agent::Agent(net::Loop& loop, Log& log, Config config)
+    : loop_(loop),
+      log_(log),
+      config_(std::move(config)),
+      sessions_(loop, log, config_.profile.settings, config_.seed, config_.directory),
+      servers_(loop, pool_, log, sessions_, config_.directory, link_limits()),
+      viewers_(loop, pool_, log, sessions_, config_.profile, config_.listen,
+               {viewers_most(config_), closing_most(config_)}),
+      feed_(loop, pool_, log, {config_.feed, config_.known_number}, config_.profile,
+            [this](const ListChange& change) {
+                const auto list = config_.directory.apply(change);
+                sessions_.listed(list);
+                servers_.listed();
+                config_.directory.forget_gone(loop_.now(),
+                                              [this](ServerNumber number) { return servers_.holds(number); });
+            }),
+      wake_(loop) {
+    sessions_.connect(viewers_, servers_);
+    sessions_.listed(config_.directory.restored());
+    double deadline = 0;
+    for (const auto& cls : config_.profile.settings.classes) deadline = std::max(deadline, cls.deadline);
+    stay_most_ = std::max(stay_least, std::min(deadline, longest_counted) + stay_over_deadline);
+    log_.info("listening", {{"name", config_.name}, {"address", net::to_text(address())}});
+}
+
+void Agent::ask_to_end() {
+    if (term_at_ != 0) return;
+    log_.info("asked_to_end");
+    term_at_ = loop_.now();
+    wake_.set(loop_.now() + look_every, [] {});
+}
+
+bool Agent::may_end() {
+    const double stayed = loop_.now() - term_at_;
+    if (stayed < stay_least || sessions_.unanswered() > 0) return false;
+    return sessions_.standing() == 0 || stayed >= stay_most_;
+}
+
+bool Agent::over() {
+    if (term_at_ == 0) return false;
+    if (words_until_ == 0 && may_end()) {
+        log_.info("ends", {{"standing", std::to_string(sessions_.standing())}});
+        sessions_.end_all();
+        viewers_.finish();
+        words_until_ = loop_.now() + last_words;
+    }
+    if (words_until_ != 0 && (viewers_.connections() == 0 || loop_.now() >= words_until_)) return true;
+    if (!wake_.is_set()) wake_.set(loop_.now() + look_every, [] {});
+    return false;
+}
+
+}  // namespace jasperspread::agent
--- /dev/null
+++ b/src/agent/agent.h
@@ -0,0 +1,48 @@
+// One whole session agent on a loop: the sides, the table and the feed, wired, with the way it ends. Signals,
+// files and the command line are outside; the same object serves in the program and in the laboratory.
+#pragma once
+
+#include "agent/config.h"
+#include "agent/feed_client.h"
+#include "agent/log.h"
+#include "agent/server_links.h"
+#include "agent/session_table.h"
+#include "agent/viewer_side.h"
+#include "net/buffer_pool.h"
+#include "net/loop.h"
+
+namespace jasperspread::agent {
+
+class Agent {
+public:
+    // Listens at once. Throws std::system_error where it can't.
+    Agent(net::Loop& loop, Log& log, Config config);
+    Agent(const Agent&) = delete;
+    Agent& operator=(const Agent&) = delete;
+
+    net::Address address() const { return viewers_.address(); }
+    // Only the feed's address can change while sessions stand; all else counts from the next start.
+    void reread(const Config& config) { feed_.move_to(config.feed); }
+    void ask_to_end();  // SIGTERM: goes on taking and answering for a while
+    // To be asked after each turn of the loop: true once the agent is over and all is said.
+    bool over();
+
+    const SessionTable& sessions() const { return sessions_; }
+
+private:
+    bool may_end();
+    LinkLimits link_limits() const;
+
+    net::Loop& loop_;
+    Log& log_;
+    Config config_;
+    net::BufferPool pool_;
+    SessionTable sessions_;
+    ServerLinks servers_;
+    ViewerSide viewers_;
+    FeedClient feed_;
+    net::Timer wake_;
+    double term_at_ = 0, words_until_ = 0, stay_most_ = 0;
+};
+
+}  // namespace jasperspread::agent
--- a/src/agent/feed_client.cpp
+++ b/src/agent/feed_client.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-#include "agent/log.h"
 #include "codec/message.h"
 
 namespace jasperspread::agent {
@@ -17,13 +16,14 @@
 
 }  // namespace
 
-FeedClient::FeedClient(net::Loop& loop, net::BufferPool& pool, const net::Address& feed,
-                       const Profile& profile, std::uint64_t last, Told told)
+FeedClient::FeedClient(net::Loop& loop, net::BufferPool& pool, Log& log, const Start& start,
+                       const Profile& profile, Told told)
     : loop_(loop),
       pool_(pool),
-      feed_(feed),
+      log_(log),
+      feed_(start.feed),
       profile_(profile),
-      last_(last),
+      last_(start.last),
       told_(std::move(told)),
       silence_(loop),
       again_(loop),
@@ -33,7 +33,7 @@
 
 // The old feed tells nothing more: nothing is waited for there, not even a pause that has begun.
 void FeedClient::move_to(const net::Address& feed) {
-    log_line("feed: moves to " + net::to_text(feed) + ", after event " + std::to_string(last_));
+    log_.info("feed_moves", {{"to", net::to_text(feed)}, {"after", std::to_string(last_)}});
     hang_up();
     again_.cancel();
     feed_ = feed;
@@ -48,11 +48,11 @@
 }
 
 void FeedClient::wait_for_words() {
-    silence_.set(net::unix_now() + silent_s, [this] { lost("it is silent"); });
+    silence_.set(loop_.now() + silent_s, [this] { lost("it is silent"); });
 }
 
 void FeedClient::opened(net::Connection& connection) {
-    connected_ = net::unix_now();
+    connected_ = loop_.now();
     connection.send(codec::feed_request(net::to_text(feed_), std::to_string(last_)));
     wait_for_words();
 }
@@ -75,13 +75,13 @@
     try {
         change = read_change(nlohmann::json::parse(event.data), profile_);
     } catch (const std::exception& error) {
-        log_line("feed: event '" + event.id + "' is passed over: " + error.what());
+        log_.warn("feed_event_passed_over", {{"id", event.id}, {"why", error.what()}});
         const auto number = codec::parse_number(event.id);
         if (number && *number > static_cast<double>(last_)) last_ = static_cast<std::uint64_t>(*number);
         return;
     }
     for (const std::string& problem : change.unreadable)
-        log_line("feed: a member is passed over: " + problem);
+        log_.warn("feed_member_passed_over", {{"why", problem}});
     if (change.number <= last_ && !change.complete) return;  // told before
     last_ = std::max(last_, change.number);
     told_(change);
@@ -99,10 +99,10 @@
 }
 
 void FeedClient::lost(const std::string& why) {
-    log_line("feed: " + why + ", after event " + std::to_string(last_));
+    log_.warn("feed_lost", {{"why", why}, {"after", std::to_string(last_)}});
     hang_up();
-    if (connected_ > 0 && net::unix_now() > connected_ + held_s) pause_ = first_pause_s;
-    again_.set(net::unix_now() + pause_, [this] { connect(); });
+    if (connected_ > 0 && loop_.now() > connected_ + held_s) pause_ = first_pause_s;
+    again_.set(loop_.now() + pause_, [this] { connect(); });
     pause_ = std::min(pause_ * 2, longest_pause_s);
 }
 
--- a/src/agent/feed_client.h
+++ b/src/agent/feed_client.h
@@ -8,6 +8,7 @@
 #include <optional>
 
 #include "agent/directory.h"
+#include "agent/log.h"
 #include "codec/feed_codec.h"
 #include "net/buffer_pool.h"
 #include "net/connection.h"
@@ -18,8 +19,12 @@
 class FeedClient : public net::Connection::Owner {
 public:
     using Told = std::function<void(const ListChange&)>;
-    FeedClient(net::Loop& loop, net::BufferPool& pool, const net::Address& feed, const Profile& profile,
-               std::uint64_t last, Told told);
+    struct Start {
+        net::Address feed;
+        std::uint64_t last = 0;  // number of the last event told
+    };
+    FeedClient(net::Loop& loop, net::BufferPool& pool, Log& log, const Start& start, const Profile& profile,
+               Told told);
 
     // The feed is to be had elsewhere from now on. The numbers of its events continue.
     void move_to(const net::Address& feed);
@@ -37,6 +42,7 @@
 
     net::Loop& loop_;
     net::BufferPool& pool_;
+    Log& log_;
     net::Address feed_;
     const Profile& profile_;
     std::uint64_t last_;
--- a/src/agent/log.h
+++ b/src/agent/log.h
@@ -1,15 +1,35 @@
-// The log: lines on standard error, each with the Unix time.
+// The log as the agent sees it: events with a name and fields. Who writes them, where and in what form, is
+// the wiring's business (src/ops). A viewer's description never goes in.
 #pragma once
 
-#include <cstdio>
+#include <initializer_list>
 #include <string>
-
-#include "net/loop.h"
+#include <string_view>
 
 namespace jasperspread::agent {
 
-inline void log_line(const std::string& text) {
-    std::fprintf(stderr, "%.3f %s\n", net::unix_now(), text.c_str());
-}
+enum class Level { Info, Warn, Fault };  // Fault: something that must not happen by this program's own rules
+
+struct Field {
+    std::string_view key;
+    std::string value;
+};
+
+class Log {
+public:
+    virtual void write(Level level, std::string_view event, std::initializer_list<Field> fields) = 0;
+    void info(std::string_view event, std::initializer_list<Field> fields = {}) {
+        write(Level::Info, event, fields);
+    }
+    void warn(std::string_view event, std::initializer_list<Field> fields = {}) {
+        write(Level::Warn, event, fields);
+    }
+    void fault(std::string_view event, std::initializer_list<Field> fields = {}) {
+        write(Level::Fault, event, fields);
+    }
+
+protected:
+    ~Log() = default;
+};
 
 }  // namespace jasperspread::agent
--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "agent/log.h"
 #include "codec/error.h"
 
 namespace jasperspread::agent {
@@ -84,14 +83,14 @@
 public:
     Link(ServerLinks& all, ServerNumber number, const net::Address& address)
         : server(number),
-          used(net::unix_now()),
+          used(all.loop_.now()),
           all_(all),
           patience_(all.loop_),
           connection(all.loop_, all.pool_, *this, address, all.limits_.connect_timeout) {}
 
     void opened(Connection&) override {
         Server& at = all_.server(server);
-        at.heard = used = net::unix_now();
+        at.heard = used = all_.loop_.now();
         at.vain = 0;
         for (const std::string& text : std::exchange(at.words, {})) connection.send(text);
         all_.pump(*this);
@@ -99,7 +98,7 @@
     std::size_t received(Connection&, std::string_view bytes) override {
         std::size_t taken = 0;
         Server& at = all_.server(server);
-        at.heard = used = net::unix_now();
+        at.heard = used = all_.loop_.now();
         at.vain = 0;
         try {
             while (true) {  // also while it is being closed from here: a release may be among it
@@ -117,7 +116,7 @@
         // Guards against a line that stops short: what comes after it on this connection can't be told from
         // it.
         if (taken < bytes.size() && !patience_.is_set()) {
-            patience_.set(net::unix_now() + whole_within_s, [this] { break_off("a line stops short"); });
+            patience_.set(all_.loop_.now() + whole_within_s, [this] { break_off("a line stops short"); });
         }
         return taken;
     }
@@ -132,7 +131,7 @@
 
 private:
     void break_off(const std::string& why) {
-        log_line("server " + std::to_string(server) + ": " + why);
+        all_.log_.warn("server_unreadable", {{"server", std::to_string(server)}, {"why", why}});
         patience_.cancel();
         connection.close();
         all_.link_ended(*this, Connection::End::Reset);
@@ -145,9 +144,9 @@
     Connection connection;  // last: it may not call back before the rest is there
 };
 
-ServerLinks::ServerLinks(net::Loop& loop, net::BufferPool& pool, ServerEvents& events,
+ServerLinks::ServerLinks(net::Loop& loop, net::BufferPool& pool, Log& log, ServerEvents& events,
                          const ServerDirectory& directory, const LinkLimits& limits)
-    : loop_(loop), pool_(pool), events_(events), directory_(directory), limits_(limits) {}
+    : loop_(loop), pool_(pool), log_(log), events_(events), directory_(directory), limits_(limits) {}
 
 ServerLinks::~ServerLinks() {
     for (auto& [tag, probe] : probes_) loop_.deadlines().cancel(probe.end);
@@ -173,7 +172,7 @@
 }
 
 ServerLinks::Link* ServerLinks::link_for_set_up(ServerNumber number) {
-    const double stale = net::unix_now() - stale_part * limits_.conn_idle;
+    const double stale = loop_.now() - stale_part * limits_.conn_idle;
     Link* best = nullptr;
     for (const auto& link : server(number).links) {
         if (link->leaving || link->sessions.size() >= limits_.streams_per_conn) continue;
@@ -199,7 +198,7 @@
     Server& at = server(number);
     const std::string text = encode(message);
     if (Link* link = talking_link(at, preferred)) {
-        link->used = net::unix_now();
+        link->used = loop_.now();
         return link->connection.send(text);
     }
     constexpr std::size_t most_words = 256;
@@ -217,7 +216,7 @@
 void ServerLinks::watch(ServerNumber number) {
     Server& at = server(number);
     if (!at.watch->is_set()) {
-        at.watch->set(net::unix_now() + look_every_s, [this, number] { look_after(number); });
+        at.watch->set(loop_.now() + look_every_s, [this, number] { look_after(number); });
     }
 }
 
@@ -226,7 +225,7 @@
 // there, as a frozen process still gets its connections accepted.
 void ServerLinks::look_after(ServerNumber number) {
     Server& at = server(number);
-    const double now = net::unix_now();
+    const double now = loop_.now();
     std::size_t staying = 0;
     for (const auto& link : at.links) staying += link->leaving ? 0 : 1;
     for (const auto& link : at.links) {
@@ -250,7 +249,7 @@
 // Nothing came for longer than a server with sessions is silent.
 bool ServerLinks::quiet(const Server& at) const {
     const double longest = limits_.note_every + limits_.note_late + quiet_slack_s;
-    return limits_.note_every > 0 && net::unix_now() > at.heard + longest;
+    return limits_.note_every > 0 && loop_.now() > at.heard + longest;
 }
 
 void ServerLinks::link_ended(Link& link, Connection::End why) {
@@ -336,7 +335,7 @@
 
 void ServerLinks::set_up(const Attempt& attempt) {
     Entry& entry = entries_[attempt.id];
-    entry = Entry{attempt, State::Queued, link_for_set_up(attempt.server), net::unix_now()};
+    entry = Entry{attempt, State::Queued, link_for_set_up(attempt.server), loop_.now()};
     if (entry.link == nullptr) return attempt_over(attempt.id, Ending::Unused, {});
     Link& link = *entry.link;
     link.sessions.insert(attempt.id);
@@ -355,7 +354,7 @@
         }
         const Attempt& attempt = it->second.attempt;
         const KnownServer* known = directory_.find(attempt.server);
-        const double left = attempt.give_up_at - net::unix_now();
+        const double left = attempt.give_up_at - loop_.now();
         if (left <= 0 || known == nullptr || !known->may_take_new()) {
             link.queue.pop_front();
             attempt_over(id, Ending::Unused, {});
@@ -370,7 +369,7 @@
         try {
             if (!link.connection.offer(encode(message))) return;
             it->second.state = State::Written;
-            link.used = net::unix_now();
+            link.used = loop_.now();
             link.queue.pop_front();
         } catch (const codec::CodecError&) {  // escaped, the description no longer fits a line
             link.queue.pop_front();
@@ -426,7 +425,7 @@
     entry.attempt.id = id;
     entry.attempt.server = number;
     entry.state = State::Standing;
-    entry.since = net::unix_now();
+    entry.since = loop_.now();
     server(number).standing.insert(id);
     server(number).heard = std::max(server(number).heard, entry.since);
     keep_link(number);
@@ -445,7 +444,7 @@
                 link.connection.send(encode(word(ServerVerb::Finish, id, cause_ok)));
             } else if (entry->state == State::Written) {
                 entry->state = State::Standing;
-                entry->since = net::unix_now();
+                entry->since = loop_.now();
                 server(link.server).standing.insert(id);
                 events_.started(id, message.description.value_or(""));
             }
@@ -493,7 +492,7 @@
 
 void ServerLinks::probe(ServerNumber number) {
     const SessionId tag = next_probe_++;
-    const double now = net::unix_now();
+    const double now = loop_.now();
     probes_[tag] = Probe{number, now, loop_.deadlines().add(now + probe_timeout_s, [this, tag] {
                              probe_over(tag, Ending::Expired, {});
                          })};
@@ -506,7 +505,7 @@
     const Probe probe = it->second;
     loop_.deadlines().cancel(probe.end);
     probes_.erase(it);
-    events_.probed(probe.server, how, net::unix_now() - probe.sent, load);
+    events_.probed(probe.server, how, loop_.now() - probe.sent, load);
 }
 
 void ServerLinks::close_idle(ServerNumber number) {
--- a/src/agent/server_links.h
+++ b/src/agent/server_links.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "agent/log.h"
 #include "agent/seam.h"
 #include "codec/server_codec.h"
 #include "net/buffer_pool.h"
@@ -28,7 +29,7 @@
 
 class ServerLinks : public ServerPort {
 public:
-    ServerLinks(net::Loop& loop, net::BufferPool& pool, ServerEvents& events,
+    ServerLinks(net::Loop& loop, net::BufferPool& pool, Log& log, ServerEvents& events,
                 const ServerDirectory& directory, const LinkLimits& limits);
     ~ServerLinks();
 
@@ -89,6 +90,7 @@
 
     net::Loop& loop_;
     net::BufferPool& pool_;
+    Log& log_;
     ServerEvents& events_;
     const ServerDirectory& directory_;
     const LinkLimits limits_;
--- a/src/agent/session_table.cpp
+++ b/src/agent/session_table.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "agent/log.h"
 #include "codec/message.h"
 
 namespace jasperspread::agent {
@@ -23,9 +22,9 @@
 
 }  // namespace
 
-SessionTable::SessionTable(net::Loop& loop, const cinderfront::Settings& settings, std::uint64_t seed,
-                           const ServerDirectory& directory)
-    : loop_(loop), settings_(settings), directory_(directory), module_(settings, seed) {}
+SessionTable::SessionTable(net::Loop& loop, Log& log, const cinderfront::Settings& settings,
+                           std::uint64_t seed, const ServerDirectory& directory)
+    : loop_(loop), log_(log), settings_(settings), directory_(directory), module_(settings, seed) {}
 
 void SessionTable::connect(ViewerPort& viewers, ServerPort& servers) {
     viewers_ = &viewers;
@@ -41,7 +40,7 @@
         const cinderfront::Event next = std::move(events_.front());
         events_.pop_front();
         actions.clear();
-        module_.handle(net::unix_now(), next, actions);
+        module_.handle(loop_.now(), next, actions);
         for (const auto& action : actions) {
             std::visit([this](const auto& what) { act(what); }, action);
         }
@@ -74,7 +73,7 @@
     if (sessions_.contains(id)) return;  // handed over again, or sent again: it is held already
     if (set_up.playing_at) {
         const auto server = directory_.number_of(*set_up.playing_at);
-        if (!server) return log_line("session " + codec::to_hex(id) + " plays at an unknown server");
+        if (!server) return log_.warn("handed_over_at_unknown_server", {{"session", codec::to_hex(id)}});
         Session& session = sessions_[id];
         session.asked = set_up;
         session.phase = Phase::Standing;
@@ -114,7 +113,7 @@
     Session* session = find(id);
     if (session == nullptr || session->phase != Phase::Asked) return;
     session->net = {0, 0};
-    log_line("fault: session " + codec::to_hex(id) + " had no answer at its deadline");
+    log_.fault("no_answer_at_deadline", {{"session", codec::to_hex(id)}});
     set_phase(*session, Phase::Answered);
     if (session->out || session->may_have_run) {
         viewers_->failed(id);
@@ -153,8 +152,7 @@
     drop_deadline(session->cap);
     set_phase(*session, Phase::Standing);
     viewers_->answered(id, description);
-    tell(
-        cinderfront::Started{id, session->server, session->attempts - 1, net::unix_now() - session->sent_at});
+    tell(cinderfront::Started{id, session->server, session->attempts - 1, loop_.now() - session->sent_at});
 }
 
 void SessionTable::attempt_ended(SessionId id, Ending how, const LoadReport& load) {
@@ -189,12 +187,8 @@
     session->out = false;
     if (session->phase == Phase::Standing) set_phase(*session, Phase::Answered);
     session->may_have_run = session->may_have_run || !proves_unrun(how);
-    cinderfront::Outcome outcome{id,
-                                 session->attempts - 1,
-                                 session->server,
-                                 how,
-                                 net::unix_now() - session->sent_at,
-                                 session->phase == Phase::Answered,
+    cinderfront::Outcome outcome{id,  session->attempts - 1,          session->server,
+                                 how, loop_.now() - session->sent_at, session->phase == Phase::Answered,
                                  load};
     drop_if_done(id);
     tell(outcome);
@@ -222,7 +216,7 @@
 void SessionTable::act(const cinderfront::Send& action) {
     Session* session = find(action.id);
     if (session == nullptr || session->phase == Phase::Standing) return;
-    const double now = net::unix_now();
+    const double now = loop_.now();
     const double not_after = session->asked.request.not_after;
     const std::uint32_t attempt = session->attempts++;
     const auto unused = [&] {
@@ -300,11 +294,11 @@
 }
 
 void SessionTable::act(const cinderfront::Tell&) {
-    log_line("fault: the module speaks to its peers, which this deployment does not allow");
+    log_.fault("module_speaks_to_peers");
 }
 
 void SessionTable::act(const cinderfront::Trace& action) {
-    log_line("module: " + action.text);
+    log_.info("module", {{"text", action.text}});
 }
 
 }  // namespace jasperspread::agent
--- a/src/agent/session_table.h
+++ b/src/agent/session_table.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "agent/log.h"
 #include "agent/seam.h"
 #include "net/loop.h"
 
@@ -18,7 +19,7 @@
 
 class SessionTable : public ViewerEvents, public ServerEvents {
 public:
-    SessionTable(net::Loop& loop, const cinderfront::Settings& settings, std::uint64_t seed,
+    SessionTable(net::Loop& loop, Log& log, const cinderfront::Settings& settings, std::uint64_t seed,
                  const ServerDirectory& directory);
     // Both sides must be there before the first event.
     void connect(ViewerPort& viewers, ServerPort& servers);
@@ -78,6 +79,7 @@
     void drop_deadline(net::Deadlines::Key& key);
 
     net::Loop& loop_;
+    Log& log_;
     const cinderfront::Settings settings_;
     const ServerDirectory& directory_;
     cinderfront::Controller module_;
--- a/src/agent/viewer_side.cpp
+++ b/src/agent/viewer_side.cpp
@@ -5,7 +5,6 @@
 #include <tuple>
 #include <utility>
 
-#include "agent/log.h"
 #include "codec/error.h"
 
 namespace jasperspread::agent {
@@ -90,8 +89,9 @@
 // One viewers' connection.
 class ViewerSide::Peer : public Connection::Owner {
 public:
-    Peer(ViewerSide& side, net::Fd fd)
-        : used(net::unix_now()),
+    Peer(ViewerSide& side, std::uint64_t came, net::Fd fd)
+        : number(came),
+          used(side.loop_.now()),
           side_(side),
           patience_(side.loop_),
           connection(side.loop_, side.pool_, *this, std::move(fd)) {
@@ -102,7 +102,7 @@
         // What crosses our close is sent again on another connection: taken here too, it would count twice.
         if (!connection.is_open()) return bytes.size();
         std::size_t taken = 0;
-        used = net::unix_now();
+        used = side_.loop_.now();
         try {
             while (connection.is_open()) {
                 const auto decoded = codec::decode_viewer(bytes.substr(taken));
@@ -113,7 +113,7 @@
                 side_.take(*this, decoded->message);
             }
         } catch (const codec::CodecError& error) {
-            log_line(std::string("viewer: ") + error.what());
+            side_.log_.warn("viewer_unreadable", {{"why", error.what()}});
             side_.break_off(*this);
         }
         if (connection.is_open() && taken < bytes.size() && !patience_.is_set()) wait_for_whole();
@@ -121,6 +121,7 @@
     }
     void ended(Connection&, Connection::End) override { side_.peer_ended(*this); }
 
+    const std::uint64_t number;
     double used;                // last traffic
     bool closing = false;       // from here: it waits for the viewer's close
     bool spoke = false;         // a whole message has come
@@ -132,7 +133,7 @@
 private:
     // Guards against messages that never end and connections that never speak: each holds a descriptor.
     void wait_for_whole() {
-        patience_.set(net::unix_now() + whole_within_s, [this] { side_.break_off(*this); });
+        patience_.set(side_.loop_.now() + whole_within_s, [this] { side_.break_off(*this); });
     }
 
     ViewerSide& side_;
@@ -142,19 +143,19 @@
     Connection connection;  // last: it may not call back before the rest is there
 };
 
-ViewerSide::ViewerSide(net::Loop& loop, net::BufferPool& pool, ViewerEvents& events, const Profile& profile,
-                       const net::Address& listen, std::size_t connections, std::size_t closing)
+ViewerSide::ViewerSide(net::Loop& loop, net::BufferPool& pool, Log& log, ViewerEvents& events,
+                       const Profile& profile, const net::Address& listen, const Bounds& most)
     : loop_(loop),
       pool_(pool),
+      log_(log),
       events_(events),
       profile_(profile),
-      most_(connections),
-      closing_most_(closing),
+      most_(most),
       again_(loop),
       listener_(loop, listen,
                 {[this](net::Fd fd) { accepted(std::move(fd)); }, [this] { return make_room(); },
                  [this] {
-                     log_line("out of descriptors");
+                     log_.warn("out_of_descriptors");
                      make_room();
                  }}) {}
 
@@ -165,8 +166,8 @@
 }
 
 void ViewerSide::accepted(net::Fd fd) {
-    auto peer = std::make_shared<Peer>(*this, std::move(fd));
-    peers_.emplace(peer.get(), peer);
+    const std::uint64_t number = ++came_;
+    peers_.emplace(number, std::make_shared<Peer>(*this, number, std::move(fd)));
 }
 
 // Keeps the viewers' part of the descriptors. At the bound, connections on which nothing has come yet go at
@@ -175,9 +176,9 @@
 bool ViewerSide::make_room() {
     // Those that are closing are not counted, so that newcomers need not wait for the last word of the
     // others; but each still holds a descriptor.
-    const bool full = peers_.size() - closing_ >= most_;
-    if (closing_ < closing_most_ && !full) return true;
-    const double now = net::unix_now();
+    const bool full = peers_.size() - closing_ >= most_.connections;
+    if (closing_ < most_.closing && !full) return true;
+    const double now = loop_.now();
     std::vector<Peer*> gone;  // at once: nobody was served there, or it has had its time to close
     Peer* first = nullptr;
     const auto rank = [](const Peer& peer) { return std::pair(peer.proven, peer.used); };
@@ -192,19 +193,19 @@
     }
     if (gone.empty() && full && first != nullptr) {
         if (!first->proven) gone.push_back(first);
-        if (first->proven && closing_ < closing_most_) close(*first);
+        if (first->proven && closing_ < most_.closing) close(*first);
     }
     for (Peer* peer : gone) {
         peer->connection.close();
         peer_ended(*peer);
     }
-    return closing_ < closing_most_ && peers_.size() - closing_ < most_;
+    return closing_ < most_.closing && peers_.size() - closing_ < most_.connections;
 }
 
 void ViewerSide::close(Peer& peer) {
     if (!peer.connection.is_open()) return;
     peer.closing = true;
-    peer.used = net::unix_now();
+    peer.used = loop_.now();
     ++closing_;
     peer.connection.finish();
 }
@@ -235,7 +236,7 @@
     const SessionId id = message.session;
     SetUp set_up;
     try {
-        set_up = read_set_up(message, profile_, net::unix_now());
+        set_up = read_set_up(message, profile_, loop_.now());
     } catch (const codec::CodecError& error) {
         // The message is whole but asks what nobody can do: refused, as nothing has run.
         return turn_away(peer, id, cause_refused, error.what());
@@ -268,7 +269,7 @@
 // hears of them, so that they do not count as viewers who want something, and in the end they are closed.
 void ViewerSide::turn_away(Peer& peer, SessionId id, std::uint8_t cause, const char* why) {
     if (++peer.faults > most_faults) codec::malformed(why);
-    if (peer.faults == 1) log_line(std::string("viewer: ") + why);
+    if (peer.faults == 1) log_.warn("set_up_turned_away", {{"why", why}});
     peer.connection.send(encode(word(ViewerType::Release, id, cause)));
 }
 
@@ -282,7 +283,7 @@
 }
 
 void ViewerSide::peer_ended(Peer& peer) {
-    const auto it = peers_.find(&peer);
+    const auto it = peers_.find(peer.number);
     if (it == peers_.end()) return;
     loop_.retire(it->second);
     peers_.erase(it);
@@ -292,7 +293,7 @@
     for (auto& [id, owed] : owed_) {
         if (owed.on != &peer) continue;
         owed.on = nullptr;
-        owed.again_at = net::unix_now();
+        owed.again_at = loop_.now();
     }
     say_again();
     for (const SessionId id : std::set<SessionId>(peer.open)) events_.given_up(id);
@@ -304,7 +305,7 @@
     if (it == asked_on_.end()) return;  // the viewer has gone
     Peer& peer = *it->second;
     peer.open.erase(id);
-    peer.used = net::unix_now();
+    peer.used = loop_.now();
     if (!message.is(ViewerType::Answer)) {
         peer.known.erase(id);
         asked_on_.erase(it);
@@ -367,7 +368,7 @@
         it->second->known.erase(id);
         asked_on_.erase(it);
     }
-    const double now = net::unix_now();
+    const double now = loop_.now();
     Owed& owed = owed_[id] = Owed{encode(message), now, nullptr, now, first_pause_s};
     say(owed, own != nullptr ? own : any_peer(nullptr));
     if (!again_.is_set()) again_.set(now + look_every_s, [this] { say_again(); });
@@ -376,14 +377,14 @@
 void ViewerSide::say(Owed& owed, Peer* to) {
     if (to == nullptr) return;
     owed.on = to;
-    owed.again_at = net::unix_now() + owed.pause;
+    owed.again_at = loop_.now() + owed.pause;
     owed.pause *= 2;
     to->connection.send(owed.bytes);
 }
 
 // Guards against an end that nobody heard: it is said again, on another connection where there is one.
 void ViewerSide::say_again() {
-    const double now = net::unix_now();
+    const double now = loop_.now();
     std::erase_if(owed_, [&](const auto& entry) { return now >= entry.second.since + owed_for_s; });
     for (auto& [id, owed] : owed_) {
         if (now >= owed.again_at) say(owed, any_peer(owed.on));
--- a/src/agent/viewer_side.h
+++ b/src/agent/viewer_side.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "agent/log.h"
 #include "agent/seam.h"
 #include "codec/viewer_codec.h"
 #include "net/buffer_pool.h"
@@ -20,8 +21,11 @@
 public:
     // At most `connections` viewers' connections are held, and `closing` more that wait for the viewer's
     // close.
-    ViewerSide(net::Loop& loop, net::BufferPool& pool, ViewerEvents& events, const Profile& profile,
-               const net::Address& listen, std::size_t connections, std::size_t closing);
+    struct Bounds {
+        std::size_t connections = 0, closing = 0;
+    };
+    ViewerSide(net::Loop& loop, net::BufferPool& pool, Log& log, ViewerEvents& events, const Profile& profile,
+               const net::Address& listen, const Bounds& most);
     ~ViewerSide();
 
     net::Address address() const { return listener_.address(); }
@@ -60,11 +64,13 @@
 
     net::Loop& loop_;
     net::BufferPool& pool_;
+    Log& log_;
     ViewerEvents& events_;
     const Profile& profile_;
-    const std::size_t most_, closing_most_;
+    const Bounds most_;
     std::size_t closing_ = 0;
-    std::map<const Peer*, std::shared_ptr<Peer>> peers_;
+    std::map<std::uint64_t, std::shared_ptr<Peer>> peers_;  // in the order in which they came
+    std::uint64_t came_ = 0;
     std::unordered_map<SessionId, Peer*> asked_on_;  // of open set-ups and of sessions that stand
     std::unordered_set<SessionId> seen_;             // ids of set-ups taken lately
     std::deque<SessionId> seen_order_;
--- a/src/codec/server_codec.cpp
+++ b/src/codec/server_codec.cpp
@@ -105,6 +105,7 @@
     const auto verb = json.find("verb"), tag = json.find("tag");
     if (verb == json.end() || !verb->is_string()) malformed("a line has no verb");
     message.verb = verb_of(verb->get_ref<const std::string&>());
+    if (message.verb == ServerVerb::Unknown) message.name = verb->get_ref<const std::string&>();
     if (tag != json.end()) {
         const auto id = tag->is_string() ? parse_hex(tag->get_ref<const std::string&>()) : std::nullopt;
         if (!id) malformed("a tag is not 16 hex digits");
@@ -132,8 +133,8 @@
 
 }  // namespace
 
-const std::string* ServerMessage::field(const std::string& name) const {
-    const auto it = fields.find(name);
+const std::string* ServerMessage::field(const std::string& key) const {
+    const auto it = fields.find(key);
     return it == fields.end() ? nullptr : &it->second;
 }
 
@@ -148,9 +149,11 @@
 
 std::string encode(const ServerMessage& message) {
     std::string out = "{\"verb\":";
+    std::string_view verb_name = message.name;
     for (const auto& [verb, text] : verbs) {
-        if (verb == message.verb) put_string(out, text);
+        if (verb == message.verb) verb_name = text;
     }
+    put_string(out, verb_name);
     out += ",\"tag\":";
     put_string(out, to_hex(message.session));
     out += ",\"opts\":{";
--- a/src/codec/server_codec.h
+++ b/src/codec/server_codec.h
@@ -23,12 +23,13 @@
 
 struct ServerMessage {
     ServerVerb verb = ServerVerb::Unknown;
+    std::string name;  // of a verb that this codec does not know
     std::uint64_t session = 0;
     std::map<std::string, std::string> fields;  // numbers as their text
     std::optional<int> cause;
     std::optional<std::string> description;  // bytes, of whatever encoding
 
-    const std::string* field(const std::string& name) const;
+    const std::string* field(const std::string& key) const;
 };
 
 // The first whole line of `bytes`; nullopt when more must come. Throws CodecError.
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -1,8 +1,6 @@
 #include "connection.h"
 
 #include <poll.h>
-#include <sys/ioctl.h>
-#include <sys/socket.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -16,7 +14,6 @@
 
 Connection::Connection(Loop& loop, BufferPool& pool, Owner& owner, Fd accepted)
     : loop_(loop), pool_(pool), owner_(owner), fd_(std::move(accepted)), timer_(loop), stall_(loop) {
-    send_at_once(fd_.get());
     watch();
 }
 
@@ -24,7 +21,7 @@
     : loop_(loop),
       pool_(pool),
       owner_(owner),
-      fd_(stream_socket()),
+      fd_(loop.kernel().open_stream(), &loop.kernel()),
       state_(State::Connecting),
       timer_(loop),
       stall_(loop) {
@@ -33,11 +30,10 @@
 
 void Connection::start_connect(const Address& to, double connect_timeout) {
     if (!fd_) return end_soon(End::Unavailable);
-    send_at_once(fd_.get());
-    if (::connect(fd_.get(), to.raw(), sizeof to.in) != 0 && errno != EINPROGRESS) {
-        return end_soon(errno == ECONNREFUSED ? End::Refused : End::Unavailable);
-    }
-    timer_.set(unix_now() + connect_timeout, [this] { end(End::TimedOut); });
+    const int result = loop_.kernel().connect(fd_.get(), to);
+    if (result != 0 && result != -EINPROGRESS)
+        return end_soon(result == -ECONNREFUSED ? End::Refused : End::Unavailable);
+    timer_.set(loop_.now() + connect_timeout, [this] { end(End::TimedOut); });
     watch();
 }
 
@@ -48,9 +44,7 @@
 }
 
 void Connection::connected() {
-    int error = 0;
-    socklen_t size = sizeof error;
-    ::getsockopt(fd_.get(), SOL_SOCKET, SO_ERROR, &error, &size);
+    const int error = loop_.kernel().connect_error(fd_.get());
     if (error != 0) return end(error == ETIMEDOUT ? End::TimedOut : End::Refused);
     timer_.cancel();
     state_ = State::Open;
@@ -65,17 +59,16 @@
 }
 
 bool Connection::has_unread() const {
-    int count = 0;
-    return fd_ && ::ioctl(fd_.get(), FIONREAD, &count) == 0 && count > 0;
+    return fd_ && loop_.kernel().unread(fd_.get()) > 0;
 }
 
 void Connection::read() {
     for (int i = 0; i < reads_a_turn && state_ != State::Closed; ++i) {
         if (!in_) in_ = pool_.lease();
         in_->close_up();
-        const ssize_t got = ::recv(fd_.get(), in_->bytes.data() + in_->end, in_->room(), 0);
-        if (got < 0 && errno == EINTR) continue;
-        if (got < 0 && errno == EAGAIN) break;
+        const ssize_t got = loop_.kernel().receive(fd_.get(), in_->bytes.data() + in_->end, in_->room());
+        if (got == -EINTR) continue;
+        if (got == -EAGAIN) break;
         if (got < 0) return end(state_ == State::Finishing ? End::Finished : End::Reset);
         if (got == 0) return end(state_ == State::Finishing ? End::Finished : End::PeerClosed);
         in_->end += static_cast<std::size_t>(got);
@@ -91,12 +84,12 @@
 std::size_t Connection::write(std::string_view bytes) {
     std::size_t done = 0;
     while (done < bytes.size()) {
-        const ssize_t sent = ::send(fd_.get(), bytes.data() + done, bytes.size() - done, MSG_NOSIGNAL);
+        const ssize_t sent = loop_.kernel().send(fd_.get(), bytes.data() + done, bytes.size() - done);
         if (sent >= 0) {
             done += static_cast<std::size_t>(sent);
-        } else if (errno != EINTR) {
+        } else if (sent != -EINTR) {
             // What the peer sent before it broke off may still be there to read: the poll after this tells.
-            if (errno != EAGAIN) end_soon(End::Reset);
+            if (sent != -EAGAIN) end_soon(End::Reset);
             break;
         }
     }
@@ -113,7 +106,7 @@
         out_.back()->append(bytes.substr(0, part));
         bytes.remove_prefix(part);
     }
-    if (!stall_.is_set()) stall_.set(unix_now() + stall_s, [this] { end(End::Stalled); });
+    if (!stall_.is_set()) stall_.set(loop_.now() + stall_s, [this] { end(End::Stalled); });
     watch();
 }
 
@@ -145,9 +138,9 @@
     }
     if (out_.empty()) {
         stall_.cancel();
-        if (state_ == State::Finishing) ::shutdown(fd_.get(), SHUT_WR);
+        if (state_ == State::Finishing) loop_.kernel().shut_output(fd_.get());
     } else if (moved) {
-        stall_.set(unix_now() + stall_s, [this] { end(End::Stalled); });
+        stall_.set(loop_.now() + stall_s, [this] { end(End::Stalled); });
     }
     const bool tell = out_.empty() && wants_writable_ && state_ == State::Open;
     if (tell) wants_writable_ = false;
@@ -160,13 +153,13 @@
     if (state_ != State::Open) return;
     state_ = State::Finishing;
     wants_writable_ = false;
-    if (out_.empty()) ::shutdown(fd_.get(), SHUT_WR);
-    timer_.set(unix_now() + finish_s, [this] { end(End::Finished); });
+    if (out_.empty()) loop_.kernel().shut_output(fd_.get());
+    timer_.set(loop_.now() + finish_s, [this] { end(End::Finished); });
     watch();
 }
 
 void Connection::end_soon(End why) {
-    timer_.set(unix_now(), [this, why] { end(why); });
+    timer_.set(loop_.now(), [this, why] { end(why); });
 }
 
 void Connection::end(End why) {
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -41,6 +41,7 @@
     Connection& operator=(const Connection&) = delete;
 
     bool is_open() const { return state_ == State::Open; }
+    Address peer() const { return loop_.kernel().peer_address(fd_.get()); }
     bool has_unread() const;  // bytes have come that the owner was not given yet
     // Sends, or keeps what the kernel does not take now; past the bound the connection ends with Overflow.
     void send(std::string_view bytes);
--- /dev/null
+++ b/src/net/kernel.cpp
@@ -0,0 +1,107 @@
+#include "kernel.h"
+
+#include <netinet/tcp.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <chrono>
+#include <cmath>
+
+namespace jasperspread::net {
+namespace {
+
+template <typename Result>
+Result told(Result result) {
+    return result < 0 ? static_cast<Result>(-errno) : result;
+}
+
+void send_at_once(int fd) {  // no waiting to fill a segment
+    const int on = 1;
+    ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+}  // namespace
+
+double SystemKernel::now() {
+    return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+int SystemKernel::poll(pollfd* polled, std::size_t count, double wait_s) {
+    const int ready = ::poll(polled, static_cast<nfds_t>(count), static_cast<int>(std::ceil(wait_s * 1000)));
+    return ready < 0 && errno == EINTR ? 0 : told(ready);
+}
+
+int SystemKernel::listen(const Address& at) {
+    const int fd = open_stream();
+    if (fd < 0) return fd;
+    const int on = 1;
+    if (::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0 &&
+        ::bind(fd, at.raw(), sizeof at.in) == 0 && ::listen(fd, SOMAXCONN) == 0) {
+        return fd;
+    }
+    const int error = -errno;
+    ::close(fd);
+    return error;
+}
+
+int SystemKernel::accept(int fd) {
+    const int got = told(::accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (got >= 0) send_at_once(got);
+    return got;
+}
+
+int SystemKernel::open_stream() {
+    const int fd = told(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (fd >= 0) send_at_once(fd);
+    return fd;
+}
+
+int SystemKernel::connect(int fd, const Address& to) {
+    return told(::connect(fd, to.raw(), sizeof to.in));
+}
+
+int SystemKernel::connect_error(int fd) {
+    int error = 0;
+    socklen_t size = sizeof error;
+    ::getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size);
+    return error;
+}
+
+Address SystemKernel::local_address(int fd) {
+    Address address;
+    socklen_t size = sizeof address.in;
+    ::getsockname(fd, reinterpret_cast<sockaddr*>(&address.in), &size);
+    return address;
+}
+
+Address SystemKernel::peer_address(int fd) {
+    Address address;
+    socklen_t size = sizeof address.in;
+    ::getpeername(fd, reinterpret_cast<sockaddr*>(&address.in), &size);
+    return address;
+}
+
+ssize_t SystemKernel::receive(int fd, char* bytes, std::size_t room) {
+    return told(::recv(fd, bytes, room, 0));
+}
+
+ssize_t SystemKernel::send(int fd, const char* bytes, std::size_t count) {
+    return told(::send(fd, bytes, count, MSG_NOSIGNAL));
+}
+
+std::size_t SystemKernel::unread(int fd) {
+    int count = 0;
+    return ::ioctl(fd, FIONREAD, &count) == 0 && count > 0 ? static_cast<std::size_t>(count) : 0;
+}
+
+void SystemKernel::shut_output(int fd) {
+    ::shutdown(fd, SHUT_WR);
+}
+
+void SystemKernel::close(int fd) {
+    ::close(fd);
+}
+
+}  // namespace jasperspread::net
--- /dev/null
+++ b/src/net/kernel.h
@@ -0,0 +1,57 @@
+// The few calls by which this program meets the kernel, behind one interface that is given to the loop: the
+// service gives the system's, the laboratory a simulated network with its own clock. Errors come back as
+// negative errno values, as from the system calls themselves. No call blocks but poll().
+#pragma once
+
+#include <poll.h>
+#include <sys/types.h>
+
+#include <cstddef>
+
+#include "socket.h"
+
+namespace jasperspread::net {
+
+class Kernel {
+public:
+    virtual ~Kernel() = default;
+
+    virtual double now() = 0;  // Unix time, s
+    // As poll(2), for `wait_s` at most; an interrupted wait is one that found nothing.
+    virtual int poll(pollfd* polled, std::size_t count, double wait_s) = 0;
+
+    virtual int listen(const Address& at) = 0;  // a listening descriptor
+    virtual int accept(int fd) = 0;
+    virtual int open_stream() = 0;
+    virtual int connect(int fd, const Address& to) = 0;  // 0, or -EINPROGRESS: poll tells
+    virtual int connect_error(int fd) = 0;               // errno of a connect that has ended, 0 when it is up
+    virtual Address local_address(int fd) = 0;
+    virtual Address peer_address(int fd) = 0;
+
+    virtual ssize_t receive(int fd, char* bytes, std::size_t room) = 0;  // 0: the peer has closed in order
+    virtual ssize_t send(int fd, const char* bytes, std::size_t count) = 0;
+    virtual std::size_t unread(int fd) = 0;  // bytes that have come and were not received yet
+    virtual void shut_output(int fd) = 0;
+    virtual void close(int fd) = 0;
+};
+
+// The system's own: TCP over IPv4, sockets that neither block nor outlive exec and send at once.
+class SystemKernel final : public Kernel {
+public:
+    double now() override;
+    int poll(pollfd* polled, std::size_t count, double wait_s) override;
+    int listen(const Address& at) override;
+    int accept(int fd) override;
+    int open_stream() override;
+    int connect(int fd, const Address& to) override;
+    int connect_error(int fd) override;
+    Address local_address(int fd) override;
+    Address peer_address(int fd) override;
+    ssize_t receive(int fd, char* bytes, std::size_t room) override;
+    ssize_t send(int fd, const char* bytes, std::size_t count) override;
+    std::size_t unread(int fd) override;
+    void shut_output(int fd) override;
+    void close(int fd) override;
+};
+
+}  // namespace jasperspread::net
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -1,7 +1,6 @@
 #include "listener.h"
 
 #include <poll.h>
-#include <sys/socket.h>
 
 #include <cerrno>
 #include <system_error>
@@ -12,20 +11,16 @@
 }
 
 Listener::Listener(Loop& loop, const Address& at, Callbacks callbacks)
-    : loop_(loop), callbacks_(std::move(callbacks)), fd_(stream_socket()), pause_(loop) {
-    const int on = 1;
-    if (!fd_ || ::setsockopt(fd_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
-        ::bind(fd_.get(), at.raw(), sizeof at.in) != 0 || ::listen(fd_.get(), SOMAXCONN) != 0) {
-        throw std::system_error(errno, std::generic_category(), "can't listen at " + to_text(at));
-    }
+    : loop_(loop),
+      callbacks_(std::move(callbacks)),
+      fd_(loop.kernel().listen(at), &loop.kernel()),
+      pause_(loop) {
+    if (!fd_) throw std::system_error(-fd_.get(), std::generic_category(), "can't listen at " + to_text(at));
     listen_again();
 }
 
 Address Listener::address() const {
-    Address address;
-    socklen_t size = sizeof address.in;
-    ::getsockname(fd_.get(), reinterpret_cast<sockaddr*>(&address.in), &size);
-    return address;
+    return loop_.kernel().local_address(fd_.get());
 }
 
 void Listener::listen_again() {
@@ -34,20 +29,20 @@
 
 void Listener::ready(short) {
     while (callbacks_.room()) {
-        Fd fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
-        if (fd) {
-            callbacks_.accepted(std::move(fd));
+        const int got = loop_.kernel().accept(fd_.get());
+        if (got >= 0) {
+            callbacks_.accepted(Fd(got, &loop_.kernel()));
             continue;
         }
-        if (errno == EINTR || errno == ECONNABORTED) continue;
-        if (errno == EAGAIN) return;
+        if (got == -EINTR || got == -ECONNABORTED) continue;
+        if (got == -EAGAIN) return;
         // Guards against EMFILE, ENFILE and the like: the socket stays readable and would take the whole
         // core.
         callbacks_.starved();
         break;
     }
     loop_.forget(fd_.get());
-    pause_.set(unix_now() + pause_s, [this] { listen_again(); });
+    pause_.set(loop_.now() + pause_s, [this] { listen_again(); });
 }
 
 }  // namespace jasperspread::net
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,20 +1,11 @@
 #include "loop.h"
 
-#include <poll.h>
-
 #include <algorithm>
-#include <cerrno>
-#include <chrono>
-#include <cmath>
 #include <limits>
 #include <system_error>
 
 namespace jasperspread::net {
 
-double unix_now() {
-    return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
-}
-
 Deadlines::Key Deadlines::add(double at, std::function<void()> task) {
     const Key key{at, ++added_};
     entries_.emplace(key, std::move(task));
@@ -44,8 +35,7 @@
     it->second.who = &who;
 }
 
-void Loop::turn() {
-    constexpr double longest_wait_s = 60;
+void Loop::turn(double longest_s) {
     std::vector<pollfd> polled;
     std::vector<std::uint64_t> serials;
     polled.reserve(watches_.size());
@@ -54,17 +44,16 @@
         polled.push_back({fd, watch.events, 0});
         serials.push_back(watch.serial);
     }
-    const double wait = std::clamp(deadlines_.next() - unix_now(), 0.0, longest_wait_s);
-    const int count =
-        ::poll(polled.data(), static_cast<nfds_t>(polled.size()), static_cast<int>(std::ceil(wait * 1000)));
-    if (count < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "poll");
+    const double wait = std::clamp(deadlines_.next() - now(), 0.0, longest_s);
+    const int count = kernel_.poll(polled.data(), polled.size(), wait);
+    if (count < 0) throw std::system_error(-count, std::generic_category(), "poll");
     for (std::size_t i = 0; count > 0 && i < polled.size(); ++i) {
         if (polled[i].revents == 0) continue;
         const auto it = watches_.find(polled[i].fd);
         // An earlier callback of this turn may have closed it, and a new one may have got its number.
         if (it != watches_.end() && it->second.serial == serials[i]) it->second.who->ready(polled[i].revents);
     }
-    deadlines_.sweep(unix_now());
+    deadlines_.sweep(now());
     retired_.clear();
 }
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -1,5 +1,5 @@
 // One poll(2) loop: descriptors that wait to be ready, and deadlines in one sorted structure that every turn
-// sweeps. All times are Unix time in seconds.
+// sweeps. All times are Unix time in seconds, by the clock of the kernel that the loop was given.
 #pragma once
 
 #include <cstdint>
@@ -9,9 +9,9 @@
 #include <utility>
 #include <vector>
 
-namespace jasperspread::net {
+#include "kernel.h"
 
-double unix_now();
+namespace jasperspread::net {
 
 // Whoever waits for a descriptor. `events` are those of poll(2).
 class Ready {
@@ -39,14 +39,18 @@
 
 class Loop {
 public:
+    explicit Loop(Kernel& kernel) : kernel_(kernel) {}
+
+    Kernel& kernel() { return kernel_; }
+    double now() { return kernel_.now(); }
     // Waits for `events` on a descriptor; replaces what was waited for before.
     void watch(int fd, short events, Ready& who);
     void forget(int fd) { watches_.erase(fd); }
     Deadlines& deadlines() { return deadlines_; }
     // Keeps an object alive until the turn is over, for owners that drop it inside one of its callbacks.
     void retire(std::shared_ptr<void> object) { retired_.push_back(std::move(object)); }
-    // One turn: what is ready, then what is due.
-    void turn();
+    // One turn: what is ready, then what is due. Waits for the first of both, `longest_s` at most.
+    void turn(double longest_s = 60);
 
 private:
     struct Watch {
@@ -54,6 +58,7 @@
         Ready* who = nullptr;
         std::uint64_t serial = 0;  // tells a reused descriptor from the one that was polled
     };
+    Kernel& kernel_;
     std::map<int, Watch> watches_;
     std::uint64_t serial_ = 0;
     Deadlines deadlines_;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -1,17 +1,18 @@
 #include "socket.h"
 
 #include <arpa/inet.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
 #include <charconv>
 
+#include "kernel.h"
+
 namespace jasperspread::net {
 
 void Fd::reset() {
-    if (fd_ >= 0) ::close(fd_);
+    if (fd_ >= 0 && kernel_ != nullptr) kernel_->close(fd_);
+    if (fd_ >= 0 && kernel_ == nullptr) ::close(fd_);
     fd_ = -1;
 }
 
@@ -36,13 +37,4 @@
     return std::string(host.data()) + ":" + std::to_string(ntohs(address.in.sin_port));
 }
 
-Fd stream_socket() {
-    return Fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-}
-
-void send_at_once(int fd) {
-    const int on = 1;
-    ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-}
-
 }  // namespace jasperspread::net
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -10,16 +10,20 @@
 
 namespace jasperspread::net {
 
+class Kernel;
+
 class Fd {
 public:
     Fd() = default;
-    explicit Fd(int fd) : fd_(fd) {}
+    // Closed by the kernel that gave it, by default the system's.
+    explicit Fd(int fd, Kernel* kernel = nullptr) : fd_(fd), kernel_(kernel) {}
     ~Fd() { reset(); }
-    Fd(Fd&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+    Fd(Fd&& other) noexcept : fd_(std::exchange(other.fd_, -1)), kernel_(other.kernel_) {}
     Fd& operator=(Fd&& other) noexcept {
         if (this != &other) {
             reset();
             fd_ = std::exchange(other.fd_, -1);
+            kernel_ = other.kernel_;
         }
         return *this;
     }
@@ -29,6 +33,7 @@
 
 private:
     int fd_ = -1;
+    Kernel* kernel_ = nullptr;
 };
 
 struct Address {
@@ -40,8 +45,4 @@
 std::optional<Address> parse_address(std::string_view text);
 std::string to_text(const Address& address);
 
-// A stream socket that neither blocks nor outlives exec; empty, with errno set, where there is none left.
-Fd stream_socket();
-void send_at_once(int fd);  // no waiting to fill a segment
-
 }  // namespace jasperspread::net
--- /dev/null
+++ b/src/ops/operator_file.cpp
@@ -0,0 +1,212 @@
+#include "operator_file.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <cmath>
+#include <fstream>
+#include <functional>
+#include <iterator>
+#include <ostream>
+#include <set>
+#include <vector>
+
+#include "codec/message.h"
+
+namespace jasperspread::ops {
+namespace {
+
+struct Wrong : std::runtime_error {  // what was expected; the place is added where it is known
+    using std::runtime_error::runtime_error;
+};
+
+using Take = std::function<void(OperatorSettings&, const YAML::Node&)>;
+using Show = std::function<std::string(const OperatorSettings&)>;
+
+struct Key {
+    const char* section;
+    const char* name;
+    const char* unit;
+    const char* meaning;
+    Take take;
+    Show show;
+};
+
+std::string scalar(const YAML::Node& node, const char* expected) {
+    if (!node.IsScalar()) throw Wrong(std::string("expected ") + expected);
+    return node.Scalar();
+}
+
+template <typename Section>
+Key flag(const char* section, Section OperatorSettings::*in, const char* name, bool Section::*field,
+         const char* meaning) {
+    return {section,
+            name,
+            "yes or no",
+            meaning,
+            [=](OperatorSettings& settings, const YAML::Node& node) {
+                const std::string text = scalar(node, "true or false");
+                if (!YAML::convert<bool>::decode(node, settings.*in.*field))
+                    throw Wrong("expected true or false, got '" + text + "'");
+            },
+            [=](const OperatorSettings& settings) {
+                return std::string(settings.*in.*field ? "true" : "false");
+            }};
+}
+
+template <typename Section>
+Key text(const char* section, Section OperatorSettings::*in, const char* name, std::string Section::*field,
+         std::set<std::string> allowed, const char* meaning) {
+    return {section,
+            name,
+            "text",
+            meaning,
+            [=](OperatorSettings& settings, const YAML::Node& node) {
+                std::string expected = "a text";
+                for (const std::string& one : allowed) expected += (expected == "a text" ? ": " : ", ") + one;
+                const std::string value = scalar(node, expected.c_str());
+                if (!allowed.empty() && !allowed.contains(value))
+                    throw Wrong("expected " + expected + "; got '" + value + "'");
+                settings.*in.*field = value;
+            },
+            [=](const OperatorSettings& settings) { return "\"" + (settings.*in.*field) + "\""; }};
+}
+
+std::string shown(double number) {
+    return codec::to_text(number);
+}
+
+// A number from `least` to `most`, both included; whole where the field is.
+template <typename Section, typename Number>
+Key number(const char* section, Section OperatorSettings::*in, const char* name, Number Section::*field,
+           double least, double most, const char* unit, const char* meaning) {
+    return {
+        section,
+        name,
+        unit,
+        meaning,
+        [=](OperatorSettings& settings, const YAML::Node& node) {
+            const std::string expected =
+                std::string(std::is_integral_v<Number> ? "a whole number" : "a number") + " from " +
+                shown(least) + " to " + shown(most);
+            const std::string value = scalar(node, expected.c_str());
+            double read = 0;
+            const bool fits = YAML::convert<double>::decode(node, read) && read >= least && read <= most &&
+                              (!std::is_integral_v<Number> || read == std::floor(read));
+            if (!fits) throw Wrong("expected " + expected + ", got '" + value + "'");
+            settings.*in.*field = static_cast<Number>(read);
+        },
+        [=](const OperatorSettings& settings) { return shown(static_cast<double>(settings.*in.*field)); }};
+}
+
+std::vector<Key> keys() {
+    using H = handover::Settings;
+    const auto log = &OperatorSettings::log;
+    const auto move = &OperatorSettings::handover;
+    return {
+        flag("log", log, "json", &LogSettings::json, "each line of the log is one JSON object"),
+        text("log", log, "level", &LogSettings::level, {"debug", "info", "warn", "err"},
+             "lines of a lower level stay out"),
+        flag("handover", move, "enabled", &H::enabled, "move sessions between servers that support it"),
+        text("handover", move, "key_file", &H::key_file, {},
+             "file with the tickets' key: 64 hex digits, the same at the lesson servers"),
+        number("handover", move, "hold_s", &H::hold_s, 0.1, 30, "s", "how long a target keeps a reservation"),
+        number("handover", move, "probation_s", &H::probation_s, 0.05, 10, "s",
+               "how long a target streams before it must have heard that this is confirmed"),
+        number("handover", move, "answer_s", &H::answer_s, 0.02, 10, "s",
+               "a step without an answer so long has failed, or is asked again"),
+        number("handover", move, "clock_slack", &H::clock_slack, 0, 0.5, "part",
+               "by which the clocks of servers and agent may run apart"),
+        number("handover", move, "look_every_s", &H::look_every_s, 0.05, 60, "s",
+               "how often sessions worth moving are looked for"),
+        number("handover", move, "least_gain", &H::least_gain, 0, 10, "worth",
+               "a second's worth that a move must gain, as a part of the class's"),
+        number("handover", move, "payback_s", &H::payback_s, 0.1, 600, "s",
+               "a move must earn its price within so long"),
+        number("handover", move, "price_s", &H::price_s, 0, 60, "s",
+               "price of a move, in seconds of the class's worth"),
+        number("handover", move, "rest_s", &H::rest_s, 0, 3600, "s",
+               "a session that was moved stays for so long"),
+        number("handover", move, "moves_per_minute", &H::moves_per_minute, 0, 100000, "moves",
+               "this agent's budget"),
+        number("handover", move, "out_of_source", &H::out_of_source, 1, 10000, "moves",
+               "at once from one server"),
+        number("handover", move, "into_target", &H::into_target, 1, 10000, "moves",
+               "at once into one server"),
+        number("handover", move, "back_off_s", &H::back_off_s, 0, 600, "s",
+               "a target that failed is left alone so long, twice as long each time"),
+        number("handover", move, "back_off_most_s", &H::back_off_most_s, 0, 3600, "s",
+               "and this long at most"),
+    };
+}
+
+std::string place(const std::string& file, const YAML::Mark& mark, const std::string& key) {
+    return file + ":" + std::to_string(mark.line + 1) + ": " + key + ": ";
+}
+
+void take_section(OperatorSettings& settings, const std::vector<Key>& table, const std::string& file,
+                  const std::string& section, const YAML::Node& node) {
+    if (!node.IsMap()) throw OperatorError(place(file, node.Mark(), section) + "expected keys below it");
+    std::set<std::string> seen;
+    for (const auto& entry : node) {
+        const std::string name = entry.first.Scalar(), full = section + "." + name;
+        const YAML::Mark mark = entry.first.Mark();
+        if (!seen.insert(name).second) throw OperatorError(place(file, mark, full) + "it stands here twice");
+        const Key* key = nullptr;
+        for (const Key& one : table) {
+            if (section == one.section && name == one.name) key = &one;
+        }
+        if (key == nullptr) throw OperatorError(place(file, mark, full) + "there is no such key");
+        try {
+            key->take(settings, entry.second);
+        } catch (const Wrong& error) {
+            throw OperatorError(place(file, mark, full) + error.what());
+        }
+    }
+}
+
+}  // namespace
+
+OperatorSettings read_operator(const std::string& yaml, const std::string& file) {
+    const std::vector<Key> table = keys();
+    std::set<std::string> sections, seen;
+    for (const Key& key : table) sections.insert(key.section);
+    OperatorSettings settings;
+    try {
+        const YAML::Node root = YAML::Load(yaml);
+        if (root.IsNull()) return settings;
+        if (!root.IsMap()) throw OperatorError(place(file, root.Mark(), "the file") + "expected sections");
+        for (const auto& entry : root) {
+            const std::string section = entry.first.Scalar();
+            const YAML::Mark mark = entry.first.Mark();
+            if (!sections.contains(section))
+                throw OperatorError(place(file, mark, section) + "there is no such section");
+            if (!seen.insert(section).second)
+                throw OperatorError(place(file, mark, section) + "it stands here twice");
+            take_section(settings, table, file, section, entry.second);
+        }
+    } catch (const YAML::Exception& error) {
+        throw OperatorError(place(file, error.mark, "the file") + "not readable as YAML: " + error.msg);
+    }
+    if (settings.handover.enabled && settings.handover.key_file.empty())
+        throw OperatorError(file + ":1: handover.key_file: expected a file, as handover.enabled is set");
+    return settings;
+}
+
+OperatorSettings load_operator(const std::string& path) {
+    std::ifstream file(path, std::ios::binary);
+    if (!file) throw OperatorError(path + ":1: the file: expected to be readable");
+    return read_operator({std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()}, path);
+}
+
+void explain_operator(std::ostream& out) {
+    const OperatorSettings defaults;
+    std::string section;
+    for (const Key& key : keys()) {
+        if (section != key.section) out << (section.empty() ? "" : "\n") << key.section << ":\n";
+        section = key.section;
+        out << "  # " << key.meaning << " (" << key.unit << ")\n  " << key.name << ": " << key.show(defaults)
+            << "\n";
+    }
+}
+
+}  // namespace jasperspread::ops
--- /dev/null
+++ b/src/ops/signals.h
@@ -0,0 +1,25 @@
+// SIGTERM, SIGINT and SIGHUP as a descriptor of the loop.
+#pragma once
+
+#include <functional>
+
+#include "net/loop.h"
+
+namespace jasperspread::ops {
+
+class Signals : private net::Ready {
+public:
+    // Throws std::system_error. The signals are blocked for the whole process from here on.
+    Signals(net::Loop& loop, std::function<void(int)> told);
+    ~Signals() { loop_.forget(fd_.get()); }
+    Signals(const Signals&) = delete;
+    Signals& operator=(const Signals&) = delete;
+
+private:
+    void ready(short) override;
+    net::Loop& loop_;
+    std::function<void(int)> told_;
+    net::Fd fd_;
+};
+
+}  // namespace jasperspread::ops
--- a/src/brain.cpp
+++ b/src/policy/brain.h
@@ -1,160 +1,16 @@
-// Every decision of cinderfront. The interface, with all events and actions, is cinderfront/controller.h.
-//
-// The mechanism is Instantaneous Maximum of Makaroff, Neufeld and Hutchinson, recast for links: a server
-// schedule of one-second slots for each server, and a session is admitted when no slot would pass the limit
-// that stands in for minRead. Its parts, in this order: constants, state, the server schedule, guards (one
-// for each rule), health, placing a request, and the events.
-#include <cinderfront/controller.h>
+// Every decision of cinderfront, in this order: the server schedule, guards (one for each rule), scarcity,
+// health, placing a request, and the events.
+#pragma once
 #include <algorithm>
 #include <array>
-#include <cmath>
-#include <deque>
-#include <limits>
 #include <map>
 #include <random>
-#include <set>
 #include <tuple>
-#include <utility>
+#include "policy/state.h"
 
 namespace cinderfront {
-namespace {
-
-constexpr double never = -std::numeric_limits<double>::infinity();
-constexpr double forever = std::numeric_limits<double>::infinity();
-
-// Length of a slot, s: rates wander from second to second, so a finer slot would only follow noise.
-constexpr double slot_s = 1.0;
-// Length charged without a hint, s: longer than most sessions, so that charges leave by their told ends.
-constexpr double default_length_s = 120.0;
-// Part of the told link that a slot may fill; stands in for the paper's minRead.
-// An uplink whose use is told, not guessed from what its servers say, needs no such margin.
-constexpr double link_limit = 0.9, told_limit = 1.0;
-// Age given to a load report in an outcome, s: its refresh and delay are not told; half a second is usual.
-constexpr double report_age_s = 0.5;
-// Periods of the notes that a reading lives where this front holds nothing; the period if untold, s.
-constexpr double reading_lives = 2.0, reading_every_s = 4.0;
-// How long an ended session is remembered, s, to be taken off readings that are older than its end.
-constexpr double ended_kept_s = 30.0;
-// A reported share of the link at or above this is "full": a floor on the use, not its value.
-constexpr double full_share = 0.99;
-// A request ends so many rounds and at least s before its deadline: a late bell must still be in time.
-constexpr double end_rounds = 2.0, end_margin_s = 0.02;
-// Part of the time left to the aim that an attempt may use, so that one more fits; the least cap, s.
-constexpr double attempt_part = 0.5, least_cap_s = 0.15;
-// Health, s: a server that failed set-ups is left alone for base x 2^(failures in a row - 1), then tried by
-// one session at a time; forgotten after `fade` without a failure.
-constexpr double shun_base_s = 1.0, shun_most_s = 8.0, shun_fade_s = 20.0;
-// When more than this part of the holders look bad, the evidence is doubted and they are only ranked last.
-constexpr double doubt_part = 0.5;
-// A server that sheds is full of streams: left out so long, or until a session of this front ends there, s.
-constexpr double full_s = 1.0;
-// Up to so many fronts are few: each sees much of each server. A front draws so many holders for each that it
-// has to itself, so that few see all, and as many where it has not even one to itself.
-constexpr std::uint32_t few_fronts = 4;
-constexpr double draws_each = few_fronts;
-// Many fronts: how steeply the price of a kB rises with the fullness of a link.
-constexpr double local_gain = 1;
-// Part of the time after which an idle connection is closed in which this front's own surely still stands.
-constexpr double connected_part = 0.5;
-// Part used of this front's share of a cold server's budget: set-ups differ in work, and clocks in rounds.
-constexpr double cold_margin = 0.8;
-// Scarcity: a refused viewer counts as wanting for so long, s (most are back then); halvings of the search.
-constexpr double refused_kept_s = 3.0;
-constexpr int price_steps = 30;
-// What price and restored rungs aim at, of links and uplinks: under the limit of admission, so that a session
-// at the price's rung still passes the slot test.
-constexpr double aim_fill = 0.8;
-// The slow hand's power of the ratio, each so many s (0.5 swings); own sessions at which it weighs half.
-constexpr double price_gain = 0.15, price_every_s = 1.0, even_at = 20;
-// Sessions differ by up to this factor in the price that they see: about a rung's step in worth for a kB.
-constexpr double taste_spread = 1.5;
-// Shortage: a share delivered under `short_share` loses worth; under `dead_share` the server stands still,
-// which no lower rung mends. A short link is brought to `relief_fill` of what it gives. Notes speak of the
-// time before a relief for told_late and the pause, s. Many fronts turn viewers away until all have heard, so
-// they bring it to where new sessions are admitted.
-constexpr double short_share = 0.98, dead_share = 0.2, relief_fill = 0.97, relief_fill_of_many = 0.88;
-constexpr double relief_pause_s = 1.5;
-// A note of delivered share is smoothed: where nothing else is told, a shortage counts so many times.
-constexpr double smoothed_by = 1.5;
-// What is learned of an uplink fades in about so long, s. At 60 a mended uplink stayed idle and days tipped;
-// at 20 links stood half empty for ten seconds after all had been slow for three.
-constexpr double uplink_memory_s = 8.0;
-// A note of delivered share is repeated each second while it holds; one older than this is over, s.
-constexpr double share_lives_s = 2.0;
-// Restoring rungs, s: how long a session rests after its start or last change; a restored rung must earn its
-// change back within so long: longer, and a next relief may come first.
-constexpr double restore_rest_s = 4.0, restore_payback_s = 4.0;
-// A lowered session is taken to play on for so long, s: over it the told price of the change is spread.
-constexpr double relief_horizon_s = 8.0;
-// Renewed asking for the list: part of the told time, and the pause after a failed call, s.
-constexpr double ask_part = 0.5, ask_again_s = 1.0;
-constexpr std::uint64_t ask_token = 0;
-
-struct Session {
-    Request req;
-    double taken = 0;
-    double taste = 1;      // multiplies the price, so that like sessions do not all change rung at one price
-    bool open = true;      // an answer is owed
-    bool playing = false;  // set up; its outcome tells the end
-    bool out = false;      // an attempt is at `server`, as set-up or as stream
-    std::uint32_t sends = 0, server = 0;
-    int rung = -1;
-    double rate = 0;                        // kB/s charged
-    double since = never, until = forever;  // slots charged
-    double changed = never;                 // its rung was last changed, or it began
-    bool noted = false;                     // its set-up note has come
-    bool may_have_run = false;              // some attempt is not proved unrun
-    double first_send = never;              // and the first of those went here, then:
-    std::uint32_t first_zone = 0, first_cell = 0;
-    std::vector<std::uint32_t> tried;
-};
-
-struct Reading {  // asked over given, and the time that it speaks of
-    double value = 0, as_of = never;
-};
-
-struct Ended {
-    double at = 0, rate = 0, since = 0;
-    // A reading of that time holds it although it has ended.
-    double held_by(const Reading& r) const { return at > r.as_of && since <= r.as_of ? rate : 0; }
-};
-
-struct Server {
-    ServerEntry entry;
-    bool listed = false;
-    double link_kb = 0;
-    Reading link;
-    Reading share;                     // delivered, as_of when told
-    double short_since = never;        // and told as short without a break
-    double relieved = never;           // own sessions' rungs last lowered
-    double restored = never;           // and raised
-    std::set<std::uint64_t> sessions;  // this front's, set-ups included
-    std::vector<Ended> ended;          // this front's sessions that the reading still holds
-    double cold_since = never;         // it runs at least since then
-    bool fell = false;                 // seen to fail, and not seen to run since
-    std::deque<double> sends;          // inside the cold window
-    int failures = 0;                  // set-ups failed in a row
-    double last_failure = never, shun_until = never;
-    int setting_up = 0;
-    double left = never;               // this front's last session there ended
-    double full_until = never;
-};
-
-struct Rack {  // a server alone, where the site has no racks
-    std::vector<Server*> servers;
-    Reading told;    // of its uplink, where servers report it
-    bool is_told() const { return told.as_of > never; }
-    double kb = -1;  // learned of its uplink; less than 0: nothing learned
-    double learned = never, relieved = never;
-};
 
-double finite_or(double value, double fallback) {
-    return std::isfinite(value) ? value : fallback;
-}
-
-}  // namespace
-
-struct Controller::Impl {
+struct Brain {
     Settings set;
     std::mt19937_64 random;
     double birth = never, now = 0, told_late = 0;
@@ -168,7 +24,7 @@
     bool subscribed = false, ask_pending = false;
     std::vector<Action>* out = nullptr;
 
-    Impl(const Settings& settings, std::uint64_t seed) : set(settings), random(seed) {
+    Brain(const Settings& settings, std::uint64_t seed) : set(settings), random(seed) {
         told_late = std::max(0.0, finite_or(set.told_late, 0));
         bound_price();
     }
@@ -180,14 +36,13 @@
 
     double uniform() { return static_cast<double>(random() >> 11) * 0x1p-53; }
 
-    Session* find(std::uint64_t id) {
-        const auto it = sessions.find(id);
-        return it == sessions.end() ? nullptr : &it->second;
-    }
-    Server* find_server(std::uint32_t id) {
-        const auto it = servers.find(id);
-        return it == servers.end() ? nullptr : &it->second;
+    Session* find(std::uint64_t id) { return find_in(sessions, id); }
+    template <typename Map>
+    static typename Map::mapped_type* find_in(Map& map, const typename Map::key_type& id) {
+        const auto it = map.find(id);
+        return it == map.end() ? nullptr : &it->second;
     }
+    Server* find_server(std::uint32_t id) { return find_in(servers, id); }
     const ClassSettings& cls(const Session& s) const { return set.classes[s.req.cls]; }
 
     // Many fronts: none sees much of any server, and all that hear the same do the same.
@@ -232,28 +87,24 @@
         return sum;
     }
 
-    // kB/s taken in the slot of now: what the latest reading told, and the charges since. A server not heard
-    // of counts as the average of those that were. Every charge begins now or before, so a schedule never
-    // rises: its first slot is its fullest, and the test of that slot is the test of all.
+    // kB/s taken in the slot of now: what was told, and the charges since; unheard servers count as average.
+    // Every charge begins now or before: the first slot is the fullest, and its test is the test of all.
     double schedule(const Server& server) const {
         double told = heard(server) ? server.link.value : average;
-        // Threat: many fronts keep to where they are, and one that has started stays empty, unheard of: so it
-        // is taken to fill over a session's length.
+        // Threat: many fronts leave one that has started empty: it is taken to fill over a session's length.
         const double age = now - server.entry.last_start.value_or(never);
         if (many() && server.sessions.empty() && age < mean_life) told = average * age / mean_life;
         return std::max(0.0, told * server.link_kb + charges(server, server.link));
     }
 
-    // Threat: a reading from where this front holds nothing any more stands still, as of a hung server that
-    // has long come back, or where reports fail. It may hurt by one set-up sent to a full server.
+    // Threat: a reading from where this front holds nothing stands still, as of one that hung and is back.
     bool heard(const Server& server) const {
         if (!server.sessions.empty()) return server.link.as_of > never;
         const double every = set.told_every > 0 ? set.told_every : reading_every_s;
         return server.link.as_of >= now - reading_lives * every - told_late;
     }
 
-    // The same for a rack's uplink: the latest reading of it, where servers report one; else what its servers
-    // carry together, where a link passes no more than it has: a reading above 1 says that it gives less.
+    // The same for a rack's uplink: its reading, or what its servers carry, no link more than it has.
     double schedule(const Rack& rack) const {
         const bool told = rack.is_told();
         double sum = told ? rack.told.value * set.rack_link_kb : 0;
@@ -325,16 +176,16 @@
     bool is_short(const Server& server) const {
         return server.share.as_of >= now - share_lives_s && server.share.value < short_share;
     }
-    // The share that a rack's uplink delivers: the middle of what its servers deliver where this front holds
-    // sessions and the link itself is told as not full. The middle: one late note must not hide a shortage.
+    // The share that a rack's uplink delivers: the middle (one late note must not hide a shortage) of what
+    // its servers deliver where this front holds sessions and the link itself is told as not full.
     double share_of(const Rack& rack) const {
         std::vector<double> shares;
         for (const Server* server : rack.servers) {
             if (server->sessions.empty() || server->link.value > short_share) continue;
-            // Threat: shares are told each second, links less often: where all links give less at once, each
-            // rack would look short until they tell, and as long as shares speak of before their relief.
-            if (many() && is_short(*server) && (server->link.as_of < server->short_since - told_late ||
-                                      now < server->relieved + told_late + relief_pause_s)) {
+            // Threat: shares are told before links: where all links give less, each rack would look short.
+            if (many() && is_short(*server) &&
+                (server->link.as_of < server->short_since - told_late ||
+                 now < server->relieved + told_late + relief_pause_s)) {
                 continue;
             }
             shares.push_back(is_short(*server) ? server->share.value : 1.0);
@@ -346,11 +197,9 @@
 
     // ---- Shortage: the exception to rungs held while a session plays ----
     //
-    // Threat: a link or uplink that gives less than is asked, whatever took it away (slow machines,
-    // neighbours, a sagging uplink, a rush of other fronts, sessions handed over). All there lose several
-    // points of worth for each point missing. Observed condition: notes say so; it ends when they do. This
-    // front lowers its own sessions there, least worth lost for a kB first, to the part that the notes leave;
-    // each front with sessions there hears the same. May hurt where the shortage passes within seconds.
+    // Threat: a link or uplink that gives less than is asked: all there lose several points of worth for each
+    // point missing. Observed condition: notes say so; it ends when they do. This front lowers its sessions
+    // there, least worth lost for a kB first, to the part that notes leave. May hurt if it passes in seconds.
     void relieve(const std::vector<Server*>& where, double factor) {
         std::vector<std::pair<Session*, int>> own;  // and the rung that it goes to
         double over = 0;
@@ -393,9 +242,8 @@
         act(SetRung{s.req.id, rung});
     }
 
-    // The end of both exceptions: a session held under what its viewer and today's price allow goes back up
-    // where the slot test has room. All fronts with sessions there hear the same, so each takes the part of
-    // the room that its sessions have of the use, larger steps by chance: together they fill the room.
+    // The end of both exceptions: a session held under what its viewer and price allow goes back up. All that
+    // hear the same take each its part of the room, larger steps by chance, so that together they fill it.
     void restore(Server& server) {
         if (server.link.as_of <= server.restored) return;
         server.restored = now;
@@ -495,10 +343,9 @@
     }
     bool cold_rule() const { return set.cold > 0 && set.fall > 0 && set.fall_multiple > 0; }
     bool cold(const Server& server) const { return server.fell || now < server.cold_since + set.cold; }
-    // A part under one set-up a window is a turn: the windows of the common clock go round the fronts by
-    // number, so that no window holds more sends than the budget, though a server looks emptiest to all. A
-    // server that is only not known to be warm (as after an own start) takes one set-up in all the turns
-    // instead. May hurt where most servers are cold and few have a turn.
+    // A part under one set-up a window is a turn: windows of the common clock go round the fronts by number,
+    // so that none holds more sends than the budget. A server that is only not known to be warm (as after an
+    // own start) takes one set-up in all the turns instead. May hurt where most servers are cold.
     bool may_warm(const Server& server) const {
         if (!cold_rule() || !cold(server)) return true;
         const double own = cold_budget(server);
@@ -543,10 +390,9 @@
 
     // ---- Lasting scarcity: the one exception to rungs held at the viewer's top ----
     //
-    // Threat: demand far over the links: sessions at the top rung fill them and the rest are refused, again
-    // and again. A kB/s has a price; new sessions start at the rung worth most after paying for it. Observed
-    // condition: what this front holds and refused moments ago would not fit its part of the links at top
-    // rungs, or heard links are fuller than the aim. It ends by itself: the price falls until all take tops.
+    // Threat: demand far over the links: top rungs fill them and the rest are refused, again and again. A kB
+    // has a price; sessions start at the rung worth most after it. Observed condition: what this front holds
+    // and refused would not fit its part of the links, or links are fuller than the aim. It falls by itself.
 
     int rung_at(std::uint32_t cls_index, int top, double dear) const {
         const ClassSettings& c = set.classes[cls_index];
@@ -589,8 +435,7 @@
             const double middle = (quick + high) / 2;
             (need(middle) > part ? quick : high) = middle;
         }
-        // The slow hand: a front of few sessions rounds its part to whole rungs and misjudges it, so its
-        // price also follows how full links and uplinks are, refused viewers counted as wanting.
+        // The slow hand: few sessions misjudge their part, so the price also follows how full links are.
         if (fullness >= 0 && now >= priced + price_every_s) {
             priced = now;
             const double more = static_cast<double>(turned_away.size()) / std::max(1.0, held);
@@ -637,9 +482,8 @@
         if (server.fell) server.cold_since = now;
         server.fell = false;
     }
-    // Threat: requests that no server can use come back with errors, and would have sound servers left out.
-    // An error counts against the server only where its title plays, so that others could use it, and so does
-    // a refusal as something wanted. May hurt where a faulty server is asked for rare titles alone.
+    // Threat: requests that no server can use would have sound servers left out. An error, or a refusal as
+    // something wanted, counts only where its title plays. May hurt where a faulty server has rare titles.
     bool plays(const Session& s) const {
         if (!s.req.title) return true;
         return std::any_of(sessions.begin(), sessions.end(), [&](const auto& entry) {
@@ -649,8 +493,7 @@
     bool stands_still(const Server& server) const {
         return server.share.as_of >= now - share_lives_s && server.share.value < dead_share;
     }
-    // Threat: new sessions sent to servers whose sessions already tell that they are gone or stand still; it
-    // also covers links that are cut. May hurt where one viewer's broken stream is taken for the server's.
+    // Threat: new sessions sent to servers whose sessions tell that they are gone, cut off or stand still.
     bool looks_bad(const Server& server) const {
         if (stands_still(server)) return true;
         if (server.failures == 0 || now > server.last_failure + shun_fade_s) return false;
@@ -693,22 +536,20 @@
         end(s);
     }
 
-    // Threat: a hundred fronts that each spread few sessions over all servers open a connection for nearly
-    // every session, and where handshakes have a price it adds up. It is weighed against what is gained.
+    // Threat: many fronts open a connection for nearly every session: its price is weighed with the gain.
     bool apart(const Server& server) const {
         return set.price_handshake > 0 && server.sessions.empty() &&
                now > server.left + connected_part * set.conn_idle;
     }
-    // Threat: many fronts that see one emptiest server, or one that has just started, all fill it before they
-    // hear of each other. Each front compares only as many drawn holders as its part of the fleet is worth.
+    // Threat: many fronts that see one emptiest server all fill it before they hear of each other: each
+    // compares only as many drawn holders as its part of the fleet is worth.
     std::size_t draws(double holders) const {
         const double own = holders / std::max(1U, set.fronts);
         return static_cast<std::size_t>(std::ceil(draws_each * std::max(1.0, own)));
     }
 
-    // The drawn holder where the session is worth most, and its rung there: the price of a kB rises with how
-    // full the link is, so most room comes first; ties at random. As many are drawn of those that this front
-    // is connected to as of the others.
+    // The drawn holder where the session is worth most, and its rung there: fuller links are dearer, so most
+    // room comes first; ties at random. As many are drawn of those that this front is connected to as others.
     Choice choose(const Session& s, int low, int top, double dear) {
         std::map<const Rack*, double> rooms;
         std::array<std::vector<Choice>, 2> drawn;
@@ -781,12 +622,10 @@
 
     // Ends a request that does not play: refused if that is allowed, else failed.
     void end(Session& s) {
-        if (s.out || !may_refuse(s)) {
-            if (s.out && set.can_cancel) act(Cancel{s.req.id, s.sends - 1});
-            act(Fail{s.req.id});
-        } else {
-            act(Refuse{s.req.id, 0});
-        }
+        const bool fails = s.out || !may_refuse(s);
+        if (s.out && set.can_cancel) act(Cancel{s.req.id, s.sends - 1});
+        if (fails) act(Fail{s.req.id});
+        if (!fails) act(Refuse{s.req.id, 0});
         s.open = false;
         drop_if_done(s.req.id);
     }
@@ -812,6 +651,10 @@
         std::erase(rack.servers, &server);
         if (!has_racks() && rack.servers.empty()) racks.erase(server.entry.server);
     }
+    void unlist(std::uint32_t id) {
+        if (Server* server = find_server(id)) server->listed = false;
+        forget_if_idle(id);
+    }
     void forget_if_idle(std::uint32_t id) {
         Server* server = find_server(id);
         if (server == nullptr || server->listed || !server->sessions.empty()) return;
@@ -831,17 +674,15 @@
 
     void on(const ServerList& list) {
         if (list.kind == ListKind::Unavailable) {
-            if (!set.list_on_request) return;
-            ask_pending = true;
-            act(Timer{now + ask_again_s, ask_token});
+            ask_pending = ask_pending || set.list_on_request;
+            if (set.list_on_request) act(Timer{now + ask_again_s, ask_token});
             return;
         }
         std::set<std::uint32_t> named;
         for (const ServerEntry& entry : list.entries) {
             named.insert(entry.server);
             if (entry.state == ServerState::Gone) {
-                if (Server* server = find_server(entry.server)) server->listed = false;
-                forget_if_idle(entry.server);
+                unlist(entry.server);
                 continue;
             }
             Server& server = servers[entry.server];
@@ -858,21 +699,22 @@
             // Rule 4: one who started after a server counts as told of its start, whatever an old list says.
             if (list.kind == ListKind::Restored) server.cold_since = std::max(server.cold_since, birth);
         }
-        if (list.kind == ListKind::Update) {
-            ask_pending = false;
-            return;
-        }
+        ask_pending = ask_pending && list.kind == ListKind::Restored;
+        if (list.kind == ListKind::Update) return;
         for (auto it = servers.begin(); it != servers.end();) {
             const std::uint32_t id = it->first;
-            if (!named.contains(id)) it->second.listed = false;
             ++it;
-            forget_if_idle(id);
-        }
-        if (list.kind == ListKind::Restored) {
-            ask_for_list();
-        } else {
-            ask_pending = false;
+            if (!named.contains(id)) unlist(id);
         }
+        if (list.kind == ListKind::Restored) ask_for_list();
+    }
+
+    Session& take(const Request& request) {
+        Session& s = sessions[request.id];
+        s.req = request;
+        s.taken = now;
+        s.taste = std::pow(taste_spread, 2 * uniform() - 1);
+        return s;
     }
 
     void on(const NewRequest& event) {
@@ -881,11 +723,8 @@
         if (set.look_back) queries.push_back(now);
         while (!queries.empty() && queries.front() <= now - set.look_back.value_or(0)) queries.pop_front();
         if (req.cls >= set.classes.size()) return act(Refuse{req.id, 0});
-        Session& s = sessions[req.id];
-        s.req = req;
         if (req.hint && std::isfinite(*req.hint)) mean_life += (std::max(0.0, *req.hint) - mean_life) / 16;
-        s.taken = now;
-        s.taste = std::pow(taste_spread, 2 * uniform() - 1);
+        Session& s = take(req);
         s.req.not_after = finite_or(req.not_after, now + finite_or(cls(s).deadline, 0));
         if (req.hint && !std::isfinite(*req.hint)) s.req.hint.reset();
         place(s);
@@ -897,10 +736,7 @@
 
     void on(const TakenOver& event) {
         if (find(event.request.id) != nullptr || event.request.cls >= set.classes.size()) return;
-        Session& s = sessions[event.request.id];
-        s.req = event.request;
-        s.taken = now;
-        s.taste = std::pow(taste_spread, 2 * uniform() - 1);
+        Session& s = take(event.request);
         s.open = false;
         s.playing = s.out = s.noted = true;
         s.sends = 1;
@@ -958,10 +794,10 @@
         if (was_setup && !unrun) s->may_have_run = true;
         if (server != nullptr) {
             // Rule 4: who sees a server break or stay unreachable knows of its next start.
-            if (event.ending == Ending::Dropped || event.ending == Ending::DialFailed) server->fell = true;
-            const bool fault = (event.ending == Ending::AppError && plays(*s)) ||
-                               event.ending == Ending::Expired || event.ending == Ending::Dropped ||
-                               event.ending == Ending::DialFailed;
+            const bool breaks = event.ending == Ending::Dropped || event.ending == Ending::DialFailed;
+            if (breaks) server->fell = true;
+            const bool fault =
+                breaks || event.ending == Ending::Expired || (event.ending == Ending::AppError && plays(*s));
             if (event.ending == Ending::Shed) server->full_until = now + full_s;
             if (!was_setup) server->full_until = never;
             const bool broke = event.ending == Ending::Dropped && now > server->last_failure + shun_base_s;
@@ -969,11 +805,8 @@
         }
         release(*s);
         if (event.last) s->open = false;
-        if (s->open) {
-            place(*s);
-        } else {
-            drop_if_done(event.id);
-        }
+        if (s->open) return place(*s);
+        drop_if_done(event.id);
     }
 
     void on(const Abandoned& event) {
@@ -984,39 +817,23 @@
     }
 
     void on(const TimerFired& event) {
-        if (event.token == ask_token) {
-            if (set.list_on_request && ask_pending &&
-                now >= asked + std::min(ask_again_s, ask_part * set.must_ask_in)) {
-                ask_for_list();
-            }
-            return;
-        }
-        const auto it = timers.find(event.token);
-        if (it == timers.end()) return;
-        Session* s = find(it->second);
-        timers.erase(it);
+        const bool ask_due = now >= asked + std::min(ask_again_s, ask_part * set.must_ask_in);
+        if (event.token == ask_token && ask_pending && ask_due) ask_for_list();
+        const auto rung = timers.extract(event.token);
+        Session* s = rung.empty() ? nullptr : find(rung.mapped());
         if (s != nullptr && s->open && !s->playing) end(*s);
     }
 
     void on(const ProbeResult&) {}
     void on(const PeerMessage&) {}
-};
 
-Controller::Controller(const Settings& settings, std::uint64_t seed)
-    : impl_(std::make_unique<Impl>(settings, seed)) {}
-Controller::~Controller() = default;
-Controller::Controller(Controller&&) noexcept = default;
-Controller& Controller::operator=(Controller&&) noexcept = default;
-
-void Controller::handle(double now, const Event& event, std::vector<Action>& out) {
-    Impl& impl = *impl_;
-    impl.now = now;
-    impl.out = &out;
-    if (impl.birth == never) {
-        impl.birth = now;
-    }
-    std::visit([&](const auto& e) { impl.on(e); }, event);
-    impl.out = nullptr;
-}
+    void handle(double at, const Event& event, std::vector<Action>& actions) {
+        now = at;
+        out = &actions;
+        if (birth == never) birth = now;
+        std::visit([this](const auto& e) { on(e); }, event);
+        out = nullptr;
+    }
+};
 
 }  // namespace cinderfront
--- a/tests/scenarios/scenario.cpp
+++ b/tests/scenarios/scenario.cpp
@@ -35,6 +35,10 @@
 
 constexpr double patience_s = 20;  // for what must come; generous, so that a busy machine changes nothing
 
+double unix_now() {
+    return net::SystemKernel().now();
+}
+
 struct Wrong : std::runtime_error {
     using std::runtime_error::runtime_error;
 };
@@ -171,7 +175,7 @@
     // Waits until `by` for bytes; false when none came.
     bool read(double by) {
         pollfd p{fd.get(), POLLIN, 0};
-        const int ms = std::max(0, static_cast<int>((by - net::unix_now()) * 1000));
+        const int ms = std::max(0, static_cast<int>((by - unix_now()) * 1000));
         if (ended || ::poll(&p, 1, ms) <= 0) return false;
         char bytes[4096];
         const ssize_t got = ::read(fd.get(), bytes, sizeof bytes);
@@ -236,10 +240,10 @@
             }
             std::vector<pollfd> polled{{fd.get(), POLLIN, 0}};
             for (const auto& wire : wires) polled.push_back({wire->ended ? -1 : wire->fd.get(), POLLIN, 0});
-            const int ms = static_cast<int>((by - net::unix_now()) * 1000);
+            const int ms = static_cast<int>((by - unix_now()) * 1000);
             if (ms <= 0 || ::poll(polled.data(), polled.size(), ms) <= 0) return false;
             for (std::size_t i = 1; i < polled.size(); ++i) {
-                if (polled[i].revents != 0) wires[i - 1]->read(net::unix_now());
+                if (polled[i].revents != 0) wires[i - 1]->read(unix_now());
             }
             if ((polled[0].revents & POLLIN) == 0) continue;
             wires.push_back(std::make_unique<Wire>());
@@ -247,7 +251,7 @@
         }
     }
     Wire& talking() {
-        if (last == nullptr && !wait(net::unix_now() + patience_s, [](Wire& w) { return !w.ended; })) {
+        if (last == nullptr && !wait(unix_now() + patience_s, [](Wire& w) { return !w.ended; })) {
             throw Wrong("no connection came");
         }
         return *last;
@@ -299,7 +303,7 @@
 
     // What the program has logged, for a report of what went wrong.
     std::string log_so_far() {
-        while (log_.fd && log_.read(net::unix_now())) {
+        while (log_.fd && log_.read(unix_now())) {
         }
         return log_.in;
     }
@@ -346,15 +350,15 @@
             return;
         }
         const auto wanted = fields_of(rest, 0);
-        const double by = net::unix_now() + patience_s;
+        const double by = unix_now() + patience_s;
         if (wanted.contains("log")) return log(wanted.at("log"), by);
         int status = 0;
         while (::waitpid(pid_, &status, WNOHANG) == 0) {
-            log_.read(net::unix_now() + 0.01);
-            if (net::unix_now() > by) throw Wrong("the program still runs");
+            log_.read(unix_now() + 0.01);
+            if (unix_now() > by) throw Wrong("the program still runs");
         }
         pid_ = 0;
-        while (log_.read(net::unix_now())) {
+        while (log_.read(unix_now())) {
         }
         const int code = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
         if (std::to_string(code) != wanted.at("exit")) throw Wrong("it ended with " + std::to_string(code));
@@ -429,8 +433,8 @@
             ::_exit(127);
         }
         if (keys.contains("drop") || keys.contains("listen")) return;  // it is not to come up
-        const std::string mark = "listens at ";
-        const double by = net::unix_now() + patience_s;
+        const std::string mark = "address=";
+        const double by = unix_now() + patience_s;
         log(mark, by);
         const std::size_t at = log_.in.find(mark) + mark.size();
         while (log_.in.find('\n', at) == std::string::npos) log_.read(by);
@@ -503,8 +507,7 @@
         noise.erase(rest.at(0));
         Words got;
         if (rest[0] == "closed") {
-            if (!wait(net::unix_now() + patience_s, [](Wire& w) { return w.ended; }))
-                throw Wrong("it is open");
+            if (!wait(unix_now() + patience_s, [](Wire& w) { return w.ended; })) throw Wrong("it is open");
             return;
         }
         const auto found = [&](Wire& wire) {
@@ -512,10 +515,10 @@
             return !got.empty();
         };
         if (rest[0] == "nothing") {
-            if (wait(net::unix_now() + std::stod(rest.at(1)), found)) throw Wrong("got '" + join(got) + "'");
+            if (wait(unix_now() + std::stod(rest.at(1)), found)) throw Wrong("got '" + join(got) + "'");
             return;
         }
-        if (!wait(net::unix_now() + patience_s, found)) throw Wrong("nothing came");
+        if (!wait(unix_now() + patience_s, found)) throw Wrong("nothing came");
         match(got, rest);
     }
 
@@ -526,7 +529,7 @@
         if (verb == "expect") {
             const std::string wanted = "Last-Event-ID: " + fields_of(rest, 0).at("after") + "\r\n";
             const auto asked = [&](Wire& wire) { return wire.in.find("\r\n\r\n") != std::string::npos; };
-            if (!feed.wait(net::unix_now() + patience_s, asked)) throw Wrong("nobody asked");
+            if (!feed.wait(unix_now() + patience_s, asked)) throw Wrong("nobody asked");
             const std::string request = std::exchange(feed.last->in, "");
             if (!request.starts_with("GET /v1/events HTTP/1.1\r\n")) throw Wrong("asked " + request);
             if (request.find(wanted) == std::string::npos) throw Wrong("asked " + request);
