Hand sessions over between lesson servers, with a laboratory that proves it

Sessions at a squeezed or draining server lost worth until they ended, and MOVE costs the viewer a break. Nothing could show a cure at large size or through failures.

- src/handover: a prepared, silent target; epochs; tickets under a keyed MAC; the agent's side as one table, the server's side as its reference; a planner. src/agent/mover.cpp joins them to the table and the links.
- Off without an operator file; servers that announce nothing never get one of its messages.

Found by the search of all interleavings and mended: a PREPARE that was denied used up no epoch, so its repeat took an older reservation and two servers streamed. Found by the fleet run: after a hand-over that was called off, the end of a session that had been moved before was taken for old, and its viewer never heard of it. Found by the fuzzer: a name of an unknown verb that was not UTF-8 changed when written again.

--- a/include/cinderfront/controller.h
+++ b/include/cinderfront/controller.h
@@ -127,12 +127,21 @@
     double latency = 0;
     LoadReport report;
 };
+// A session that stands could go to another server without a break: where would its worth be most?
+struct Seek {
+    std::uint64_t id = 0;
+};
+struct Rehomed {  // it went there
+    std::uint64_t id = 0;
+    std::uint32_t server = 0;
+    int rung = 0;
+};
 struct PeerMessage {
     std::uint32_t from = 0;
     std::string bytes;
 };
 using Event = std::variant<ServerList, NewRequest, TakenOver, Started, Note, Outcome, Abandoned, TimerFired,
-                           ProbeResult, PeerMessage>;
+                           ProbeResult, Seek, Rehomed, PeerMessage>;
 
 // Actions.
 struct Send {
@@ -158,6 +167,12 @@
 struct Move {
     std::uint64_t id = 0;
 };
+struct Offer {  // the answer to Seek, where there is one: a second there is worth `gain` more
+    std::uint64_t id = 0;
+    std::uint32_t server = 0;
+    int rung = 0;
+    double gain = 0;
+};
 struct Timer {
     double at = 0;
     std::uint64_t token = 0;
@@ -179,7 +194,7 @@
 struct Trace {
     std::string text;
 };
-using Action = std::variant<Send, SetRung, Cancel, Refuse, Fail, Move, Timer, Probe, CloseIdle, Tell,
+using Action = std::variant<Send, SetRung, Cancel, Refuse, Fail, Move, Offer, Timer, Probe, CloseIdle, Tell,
                             Subscribe, FetchList, Trace>;
 
 // One front. Controllers share nothing; the same seed and events give the same actions.
--- /dev/null
+++ b/lab/model/party.h
@@ -0,0 +1,74 @@
+// What servers, viewers and the feed share: taking connections, and keeping them until they end.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "net/buffer_pool.h"
+#include "net/connection.h"
+#include "net/listener.h"
+
+namespace lab {
+
+class Party : public jasperspread::net::Connection::Owner {
+public:
+    using Connection = jasperspread::net::Connection;
+    explicit Party(jasperspread::net::Loop& loop) : loop_(loop) {}
+    virtual ~Party() = default;
+
+    jasperspread::net::Address listen(const jasperspread::net::Address& at) {
+        listener_ = std::make_unique<jasperspread::net::Listener>(
+            loop_, at,
+            jasperspread::net::Listener::Callbacks{[this](jasperspread::net::Fd fd) {
+                                                       auto made = std::make_shared<Connection>(
+                                                           loop_, pool_, *this, std::move(fd));
+                                                       const std::uint64_t number = ++came_;
+                                                       numbers_[made.get()] = number;
+                                                       connections_.emplace(number, made);
+                                                       arrived(number, *made);
+                                                   },
+                                                   [] { return true; }, [] {}});
+        return listener_->address();
+    }
+    void ended(Connection& connection, Connection::End why) override {
+        const auto it = numbers_.find(&connection);
+        if (it == numbers_.end()) return;
+        const std::uint64_t number = it->second;
+        numbers_.erase(it);
+        left(number, why);
+        loop_.retire(connections_.at(number));
+        connections_.erase(number);
+    }
+    std::size_t received(Connection& connection, std::string_view bytes) override {
+        return heard(numbers_.at(&connection), bytes);
+    }
+
+protected:
+    virtual void arrived(std::uint64_t, Connection&) {}
+    virtual void left(std::uint64_t, Connection::End) {}
+    virtual std::size_t heard(std::uint64_t number, std::string_view bytes) = 0;
+
+    std::uint64_t connect(const jasperspread::net::Address& to, double timeout_s) {
+        const std::uint64_t number = ++came_;
+        auto made = std::make_shared<Connection>(loop_, pool_, *this, to, timeout_s);
+        numbers_[made.get()] = number;
+        connections_.emplace(number, made);
+        return number;
+    }
+    Connection* connection(std::uint64_t number) {
+        const auto it = connections_.find(number);
+        return it == connections_.end() ? nullptr : it->second.get();
+    }
+
+    jasperspread::net::Loop& loop_;
+    std::map<std::uint64_t, std::shared_ptr<Connection>> connections_;  // in the order in which they came
+
+private:
+    jasperspread::net::BufferPool pool_;
+    std::map<const Connection*, std::uint64_t> numbers_;  // looked up only, never walked
+    std::uint64_t came_ = 0;
+    std::unique_ptr<jasperspread::net::Listener> listener_;
+};
+
+}  // namespace lab
--- /dev/null
+++ b/lab/model/viewers.h
@@ -0,0 +1,100 @@
+// The viewers of one agent: they arrive, ask, wait, watch, leave, and come again. And the control feed.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+
+#include "codec/viewer_codec.h"
+#include "lab/model/ledger.h"
+#include "lab/model/party.h"
+
+namespace lab {
+
+class Viewers final : public Party {
+public:
+    Viewers(jasperspread::net::Loop& loop, const WorldPlan& plan, int agent, Ledger& ledger,
+            std::uint64_t seed);
+    ~Viewers() override;
+
+    void start(const jasperspread::net::Address& agent);  // connects, and asks once a test is passed
+    void stop_arrivals() { arriving_ = false; }
+    void set_rate(double arrivals_per_s) { rate_ = arrivals_per_s; }
+    void tick(double seconds);
+    std::size_t watching() const { return watching_.size(); }
+    bool ready() const { return ready_; }
+    // Sets one up at once, for tests and the load tool; gives its id.
+    SessionId ask(int cls, double length_s);
+    void leave_all();  // all that watch
+    std::uint64_t refusals() const { return refusals_; }
+    std::uint64_t answers() const { return answers_; }
+    std::uint64_t open() const { return asked_.size(); }
+    bool leave_at_once = false;  // for the load tool: a viewer leaves when it is answered
+
+private:
+    using Message = jasperspread::codec::ViewerMessage;
+    struct Asked {
+        int cls = 0, top = 0;
+        Wish wish;
+        std::uint64_t title = 0;
+        int again = 0;
+        jasperspread::net::Deadlines::Key due{0, 0};
+    };
+    struct Watched {
+        Asked asked;
+        double since = 0;
+    };
+
+    void left(std::uint64_t number, Connection::End why) override;
+    std::size_t heard(std::uint64_t number, std::string_view bytes) override;
+    void opened(Connection& connection) override;
+    void take(const Message& message);
+    void arrive();
+    SessionId send_set_up(Asked asked);
+    void come_again(Asked asked);
+    void over(SessionId id, bool broken);
+    void leave(SessionId id);
+    void say(const Message& message);
+    double uniform() { return static_cast<double>(random_() >> 11) * 0x1p-53; }
+    void after(double seconds, std::function<void()> what);
+
+    const WorldPlan& plan_;
+    const int agent_;
+    Ledger& ledger_;
+    std::mt19937_64 random_;
+    jasperspread::net::Address to_;
+    std::uint64_t connection_ = 0, serial_ = 0;
+    bool arriving_ = true, ready_ = false, started_ = false;
+    double rate_ = 0;
+    std::uint64_t refusals_ = 0, answers_ = 0;
+    std::map<SessionId, Asked> asked_;
+    std::map<SessionId, Watched> watching_;
+    std::set<std::pair<double, std::uint64_t>> timers_;
+};
+
+// The control feed: server-sent events with numbers, resumed by Last-Event-ID.
+class Feed final : public Party {
+public:
+    Feed(jasperspread::net::Loop& loop, const WorldPlan& plan);
+    ~Feed() override = default;
+    void add(const Member& member) { members_.push_back(member); }
+    nlohmann::json known() const;  // as an agent's configuration holds it
+    void change(int server, const std::string& phase, double up_since = 0);
+    void silence(bool silent) { silent_ = silent; }
+
+private:
+    std::size_t heard(std::uint64_t number, std::string_view bytes) override;
+    void left(std::uint64_t number, Connection::End) override { listening_.erase(number); }
+    void comment();
+
+    const WorldPlan& plan_;
+    std::vector<Member> members_;
+    std::vector<std::string> events_;  // from number 2 on, as they are sent
+    std::set<std::uint64_t> listening_;
+    bool silent_ = false;
+    jasperspread::net::Timer timer_;
+};
+
+}  // namespace lab
--- /dev/null
+++ b/lab/run/experiments.h
@@ -0,0 +1,37 @@
+// The experiments of the laboratory. Each gives its figures and what the ledger found broken.
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+namespace lab {
+
+struct Ask {
+    std::uint64_t seed = 1;
+    std::string program;  // the agent, for experiments on sockets
+    std::string folder;   // for its files
+    std::string plot;     // data for a picture goes there, where the experiment has one
+};
+
+struct Result {
+    std::vector<std::string> violations;
+    std::vector<std::pair<std::string, double>> figures;  // in the order in which they are told
+};
+
+struct Experiment {
+    const char* name;
+    const char* meaning;
+    Result (*run)(const Ask&);
+};
+const std::vector<Experiment>& experiments();
+
+Result run_handover(const Ask& ask);        // sockets
+Result run_handover_fleet(const Ask& ask);  // 100 agents and 60 servers in virtual time
+Result run_rules(const Ask& ask);           // random faults in virtual time
+Result run_load(const Ask& ask);            // sockets: what a set-up costs the agent
+
+Result run_demo(const Ask& ask);  // sockets: ten seconds of service
+
+}  // namespace lab
--- /dev/null
+++ b/lab/run/main.cpp
@@ -0,0 +1,59 @@
+// The laboratory's command line: runs one experiment and writes its figures.
+#include <signal.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+#include "lab/run/experiments.h"
+
+int main(int argc, char** argv) {
+    signal(SIGPIPE, SIG_IGN);
+    CLI::App app("The laboratory of jasperspread: emulated servers and viewers round the real agent.");
+    std::string name, json_file;
+    lab::Ask ask;
+    std::string names;
+    for (const auto& one : lab::experiments()) names += std::string("\n  ") + one.name + ": " + one.meaning;
+    app.add_option("experiment", name, "one of" + names)->required();
+    app.add_option("--seed", ask.seed, "the same seed gives the same world");
+    app.add_option("--json", json_file, "the figures as JSON go there too");
+    app.add_option("--plot-data", ask.plot, "where the experiment has a picture, its points go there");
+    app.add_option("--program", ask.program, "the agent, for experiments on sockets");
+    CLI11_PARSE(app, argc, argv);
+    for (const auto& one : lab::experiments()) {
+        if (name != one.name) continue;
+        try {
+            std::string folder =
+                (std::filesystem::temp_directory_path() / "jasperspread-lab-XXXXXX").string();
+            if (mkdtemp(folder.data()) == nullptr) throw std::runtime_error("no folder for its files");
+            ask.folder = folder;
+            const lab::Result result = one.run(ask);
+            std::filesystem::remove_all(folder);
+            nlohmann::ordered_json figures = nlohmann::ordered_json::object();
+            for (const auto& [key, value] : result.figures) {
+                std::printf("%-22s %.6g\n", key.c_str(), value);
+                figures[key] = value;
+            }
+            std::printf("%-22s %zu\n", "violations", result.violations.size());
+            constexpr std::size_t shown = 10;
+            for (std::size_t i = 0; i < std::min(shown, result.violations.size()); ++i)
+                std::printf("  %s\n", result.violations[i].c_str());
+            if (!result.violations.empty())
+                std::printf("again: scripts/lab %s --seed %llu\n", one.name,
+                            static_cast<unsigned long long>(ask.seed));
+            const nlohmann::ordered_json json = {{"experiment", one.name},
+                                                 {"seed", ask.seed},
+                                                 {"violations", result.violations.size()},
+                                                 {"figures", figures}};
+            if (!json_file.empty()) std::ofstream(json_file) << json.dump(2) << "\n";
+            return result.violations.empty() ? 0 : 1;
+        } catch (const std::exception& error) {
+            std::fprintf(stderr, "lab: %s\n", error.what());
+            return 2;
+        }
+    }
+    std::fprintf(stderr, "lab: there is no experiment %s; there are%s\n", name.c_str(), names.c_str());
+    return 2;
+}
--- /dev/null
+++ b/lab/sim/sim_world.h
@@ -0,0 +1,96 @@
+// A whole world in virtual time: agents (the real ones), lesson servers, viewers, the feed, and the faults.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "agent/agent.h"
+#include "lab/model/server.h"
+#include "lab/model/viewers.h"
+#include "lab/sim/network.h"
+
+namespace lab {
+
+class SimWorld {
+public:
+    explicit SimWorld(const WorldPlan& plan, Network::Delay delay = {});
+    ~SimWorld();
+
+    void run_for(double seconds) { network_.run_until(network_.now() + seconds); }
+    // Viewers stop arriving; runs on until what they asked for must have been answered and heard.
+    void finish();
+    double now() const { return network_.now(); }
+
+    void kill_agent(int agent);  // and it starts again after a moment
+    void ask_agent_to_end(int agent);
+    void stop_agent(int agent, bool stopped);
+    void kill_server(int server, std::optional<double> starts_again_after);
+    void freeze_server(int server, bool frozen);
+    void vanish_server(int server, bool vanished);
+    void drain_server(int server);
+    void cut(int agent, int server, bool is_cut);
+    void squeeze(int server, double gives) { fleet_.squeeze(server, gives); }
+
+    WorldPlan& plan() { return plan_; }
+    Network& network() { return network_; }
+    Fleet& fleet() { return fleet_; }
+    Ledger& ledger() { return ledger_; }
+    LessonServer* server(int number) { return servers_[static_cast<std::size_t>(number)].server.get(); }
+    Viewers& viewers(int agent) { return *crowds_[static_cast<std::size_t>(agent)].viewers; }
+    jasperspread::agent::Agent* agent(int number) {
+        return agents_[static_cast<std::size_t>(number)].agent.get();
+    }
+    std::uint64_t log_lines() const { return log_.lines; }
+    std::uint64_t faults_logged() const { return log_.faults; }
+    // A hash of all that happened.
+    std::uint64_t trace() const { return network_.trace(); }
+
+    // A broken agent, to show that the ledger catches it: what it does to the bytes that agents send.
+    void with_key(std::string key) { key_ = std::move(key); }  // of agents that start from here on
+    void corrupt(std::function<void(jasperspread::agent::Config&)> how) { corrupt_ = std::move(how); }
+
+private:
+    struct CountingLog final : jasperspread::agent::Log {
+        std::uint64_t lines = 0, faults = 0;
+        void write(jasperspread::agent::Level level, std::string_view,
+                   std::initializer_list<jasperspread::agent::Field>) override {
+            ++lines;
+            faults += level == jasperspread::agent::Level::Fault ? 1 : 0;
+        }
+    };
+    struct AgentSlot {
+        Host* host = nullptr;
+        std::unique_ptr<jasperspread::agent::Agent> agent;
+        int starts = 0;
+    };
+    struct ServerSlot {
+        Host* host = nullptr;
+        std::unique_ptr<LessonServer> server;
+    };
+    struct CrowdSlot {
+        Host* host = nullptr;
+        std::unique_ptr<Viewers> viewers;
+    };
+    void start_agent(int agent);
+    void start_server(int server);
+    void tick();
+
+    WorldPlan plan_;
+    Network network_;
+    Fleet fleet_;
+    Ledger ledger_;
+    CountingLog log_;
+    std::function<void(jasperspread::agent::Config&)> corrupt_;
+    std::string key_ = ticket_key();
+    Host* feed_host_ = nullptr;
+    std::unique_ptr<Feed> feed_;
+    std::vector<ServerSlot> servers_;
+    std::vector<AgentSlot> agents_;
+    std::vector<CrowdSlot> crowds_;
+    std::uint64_t seeds_ = 0;
+};
+
+}  // namespace lab
--- a/simhost/wire.cpp
+++ b/simhost/wire.cpp
@@ -134,6 +134,7 @@
     }
     void operator()(const Refuse& a) const { line("REFUSE", show_hex(a.id) + " " + show(a.retry_after)); }
     void operator()(const Fail& a) const { line("END_FAILED", show_hex(a.id)); }
+    void operator()(const Offer&) const {}  // the wire has no such thing, and never asks
     void operator()(const Move& a) const { line("REBALANCE", show_hex(a.id)); }
     void operator()(const Timer& a) const { line("AFTER", show(a.at) + " " + std::to_string(a.token)); }
     void operator()(const Probe& a) const { line("TOUCH", std::to_string(a.server)); }
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -68,6 +68,7 @@
     if (term_at_ != 0) return;
     log_.info("asked_to_end");
     term_at_ = loop_.now();
+    sessions_.begin_no_moves();
     wake_.set(loop_.now() + look_every, [] {});
 }
 
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -23,6 +23,8 @@
     net::Address address() const { return viewers_.address(); }
     // Only the feed's address can change while sessions stand; all else counts from the next start.
     void reread(const Config& config) { feed_.move_to(config.feed); }
+    // Sessions are handed over between servers from here on, or by other settings (docs/operate/handover.md).
+    void hand_over(const HandoverOrder& order) { sessions_.hand_over(order); }
     void ask_to_end();  // SIGTERM: goes on taking and answering for a while
     // To be asked after each turn of the loop: true once the agent is over and all is said.
     bool over();
--- a/src/agent/seam.h
+++ b/src/agent/seam.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "agent/directory.h"
+#include "handover/server_side.h"
 
 namespace jasperspread::agent {
 
@@ -49,6 +50,22 @@
 // How far an attempt had come that is given up. Only what was sent may have run.
 enum class GivenUp { Queued, Connecting, Sent };
 
+// One message of a hand-over to a server; of a PREPARE also what it needs of the session.
+struct HandoverWord {
+    handover::Verb verb = handover::Verb::Withdraw;
+    SessionId session = 0;
+    std::uint64_t epoch = 0;
+    ServerNumber server = 0;
+    std::string ticket, class_name, title, description;
+    int rung = 0;
+    double hold_s = 0, probation_s = 0;
+    std::string at_ms;  // media time, as the source told it
+};
+struct HandoverReply {
+    handover::Answer answer;
+    std::string at_ms;
+};
+
 // Towards the servers.
 class ServerPort {
 public:
@@ -58,6 +75,13 @@
     virtual void set_rung(SessionId id, int rung) = 0;
     virtual void end_session(SessionId id) = 0;
     virtual void adopt(SessionId id, ServerNumber server) = 0;  // a session that plays there already
+    // Of servers that announce it: a hand-over's messages, and where a session stands after one.
+    virtual bool hands_over(ServerNumber server) const = 0;
+    virtual void hand_over(const HandoverWord& word) = 0;
+    virtual void rehome(SessionId id, ServerNumber server, int rung) = 0;
+    virtual void set_epoch(SessionId id,
+                           std::uint64_t epoch) = 0;  // told with the session's end from here on
+    virtual void end_at(SessionId id, ServerNumber server, std::uint64_t epoch) = 0;
     virtual void probe(ServerNumber server) = 0;
     virtual void close_idle(ServerNumber server) = 0;
 
@@ -86,6 +110,10 @@
     virtual void noted(SessionId id, cinderfront::NoteKind kind, double value) = 0;
     virtual void probed(ServerNumber server, cinderfront::Ending how, double latency,
                         const cinderfront::LoadReport& load) = 0;
+    virtual void handed(SessionId id, ServerNumber from, const HandoverReply& reply) = 0;
+    // A server that is not the session's own says that it has ended there.
+    virtual void ended_at(SessionId id, ServerNumber from, std::uint64_t epoch, cinderfront::Ending how) = 0;
+    virtual void process_gone(ServerNumber server) = 0;  // there is proof: it refuses connections
 
 protected:
     ~ServerEvents() = default;
--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -60,6 +60,12 @@
     return message;
 }
 
+std::uint64_t whole(const std::string* text) {
+    const auto number = text == nullptr ? std::nullopt : codec::parse_number(*text);
+    constexpr double most = 9e15;  // exact in a double
+    return number && *number > 0 && *number < most ? static_cast<std::uint64_t>(*number) : 0;
+}
+
 LoadReport load_of(const ServerMessage& message) {
     const std::string* text = message.field("load");
     return text == nullptr ? LoadReport{} : read_load(*text);
@@ -273,7 +279,9 @@
     // and refuses is gone, though it may not have closed them.
     const KnownServer* known = directory_.find(number);
     const bool left = known == nullptr || known->entry.state == cinderfront::ServerState::Gone;
-    if (why == Connection::End::Refused && (left || talking_link(at, nullptr) == nullptr)) all_over(number);
+    const bool proof = why == Connection::End::Refused && (left || talking_link(at, nullptr) == nullptr);
+    if (proof) events_.process_gone(number);
+    if (proof) all_over(number);
     if (why == Connection::End::TimedOut && ++at.vain >= vain_connects && quiet(at)) all_over(number);
     for (const SessionId id : sessions) {
         const auto it = entries_.find(id);
@@ -417,7 +425,9 @@
     if (it == entries_.end()) return;
     const Entry entry = it->second;
     erase(id);
-    speak(entry.attempt.server, entry.link, word(ServerVerb::Finish, id, cause_cancelled));
+    ServerMessage message = word(ServerVerb::Finish, id, cause_cancelled);
+    if (entry.epoch > 0) message.fields["epoch"] = std::to_string(entry.epoch);
+    speak(entry.attempt.server, entry.link, message);
 }
 
 void ServerLinks::adopt(SessionId id, ServerNumber number) {
@@ -449,9 +459,17 @@
                 events_.started(id, message.description.value_or(""));
             }
             break;
-        case ServerVerb::Finish:
+        case ServerVerb::Finish: {
             link.connection.send(encode(word(ServerVerb::Finished, id)));
-            if (entry != nullptr) finished(message);
+            // What a server says of a session's earlier stay there, before it was handed on, is old.
+            const std::uint64_t epoch = whole(message.field("epoch"));
+            if (entry != nullptr && (epoch == 0 || epoch >= entry->home_epoch)) finished(message);
+            if (entry == nullptr && epoch > 0)
+                events_.ended_at(id, link.server, epoch, ending_of_session(message));
+            break;
+        }
+        case ServerVerb::Unknown:
+            take_named(link, message);
             break;
         case ServerVerb::Notice: {
             static constexpr std::pair<std::string_view, NoteKind> kinds[] = {{"fill", NoteKind::Delivered},
@@ -478,6 +496,89 @@
     }
 }
 
+// What the hand-over adds to the protocol (docs/design/handover.md).
+void ServerLinks::take_named(Link& link, const ServerMessage& message) {
+    if (message.name == "FEATURE") {
+        const std::string* feature = message.field("handover");
+        Server& at = server(link.server);
+        at.hands_over = feature != nullptr && *feature == "1";
+        if (!at.hands_over) return;
+        for (const auto& [id, text] : std::exchange(at.prepares, {})) link.connection.send(text);
+        return;
+    }
+    const auto verb = handover::verb_of(message.name);
+    if (!verb) return;
+    HandoverReply reply;
+    reply.answer.verb = *verb;
+    reply.answer.epoch = whole(message.field("epoch"));
+    const std::string* why = message.field("why");
+    reply.answer.why =
+        why == nullptr ? handover::Why::None : handover::why_of(*why).value_or(handover::Why::Unknown);
+    if (const std::string* at = message.field("at")) reply.at_ms = *at;
+    events_.handed(message.session, link.server, reply);
+}
+
+bool ServerLinks::hands_over(ServerNumber number) const {
+    const auto it = servers_.find(number);
+    return it != servers_.end() && it->second.hands_over;
+}
+
+void ServerLinks::hand_over(const HandoverWord& said) {
+    ServerMessage message = word(ServerVerb::Unknown, said.session);
+    message.name = handover::name_of(said.verb);
+    message.fields["epoch"] = std::to_string(said.epoch);
+    if (!said.ticket.empty()) message.fields["ticket"] = said.ticket;
+    if (said.hold_s > 0) message.fields["hold"] = codec::whole_ms(said.hold_s);
+    if (!said.at_ms.empty()) message.fields["at"] = said.at_ms;
+    if (said.verb == handover::Verb::Prepare) {
+        message.fields["probation"] = codec::whole_ms(said.probation_s);
+        message.fields["class"] = said.class_name;
+        message.fields["key"] = said.title;
+        message.fields["rung"] = std::to_string(said.rung);
+        message.description = said.description;
+    }
+    // A server that was never spoken with has announced nothing yet: a connection tells. Whoever does not
+    // know these messages never gets one.
+    Server& at = server(said.server);
+    constexpr std::size_t most_waiting = 64;
+    try {
+        if (at.hands_over) return speak(said.server, nullptr, message);
+        at.prepares.erase(said.session);
+        if (said.verb != handover::Verb::Prepare || at.prepares.size() >= most_waiting) return;
+        at.prepares.emplace(said.session, encode(message));
+        keep_link(said.server);
+    } catch (const codec::CodecError&) {  // escaped, the description no longer fits a line: no hand-over then
+        log_.warn("handover_too_long", {{"session", codec::to_hex(said.session)}});
+    }
+}
+
+void ServerLinks::rehome(SessionId id, ServerNumber number, int rung) {
+    const auto it = entries_.find(id);
+    Entry moved;
+    if (it != entries_.end()) moved = it->second;
+    erase(id);
+    moved.attempt.id = id;
+    moved.attempt.server = number;
+    moved.attempt.rung = rung;
+    moved.state = State::Standing;
+    moved.link = nullptr;
+    moved.home_epoch = moved.epoch;
+    moved.since = loop_.now();
+    entries_[id] = moved;
+    server(number).standing.insert(id);
+    keep_link(number);
+}
+
+void ServerLinks::set_epoch(SessionId id, std::uint64_t epoch) {
+    if (const auto it = entries_.find(id); it != entries_.end()) it->second.epoch = epoch;
+}
+
+void ServerLinks::end_at(SessionId id, ServerNumber number, std::uint64_t epoch) {
+    ServerMessage message = word(ServerVerb::Finish, id, cause_cancelled);
+    message.fields["epoch"] = std::to_string(epoch);
+    speak(number, nullptr, message);
+}
+
 void ServerLinks::finished(const ServerMessage& message) {
     const SessionId id = message.session;
     const State state = entries_.at(id).state;
--- a/src/agent/server_links.h
+++ b/src/agent/server_links.h
@@ -43,6 +43,11 @@
     void set_rung(SessionId id, int rung) override;
     void end_session(SessionId id) override;
     void adopt(SessionId id, ServerNumber server) override;
+    bool hands_over(ServerNumber server) const override;
+    void hand_over(const HandoverWord& word) override;
+    void rehome(SessionId id, ServerNumber server, int rung) override;
+    void set_epoch(SessionId id, std::uint64_t epoch) override;
+    void end_at(SessionId id, ServerNumber server, std::uint64_t epoch) override;
     void probe(ServerNumber server) override;
     void close_idle(ServerNumber server) override;
 
@@ -54,13 +59,17 @@
         State state = State::Queued;
         Link* link = nullptr;  // that it was written on, or waits for; null: any
         double since = 0;
+        std::uint64_t epoch = 0;       // of its last hand-over, whatever came of it; 0: none
+        std::uint64_t home_epoch = 0;  // of the one that brought it to where it stands
     };
     struct Server {
         std::vector<std::shared_ptr<Link>> links;
         std::set<SessionId> standing;
-        std::vector<std::string> words;  // messages on sessions that wait for a connection
-        double heard = 0;                // something came from there, or a connection came up
-        int vain = 0;                    // connections that timed out since
+        std::vector<std::string> words;             // messages on sessions that wait for a connection
+        double heard = 0;                           // something came from there, or a connection came up
+        int vain = 0;                               // connections that timed out since
+        bool hands_over = false;                    // it has announced that it can
+        std::map<SessionId, std::string> prepares;  // that wait for it to announce that
         std::unique_ptr<net::Timer> watch;
     };
     struct Probe {
@@ -81,6 +90,7 @@
     void pump(Link& link);
     void take(Link& link, const codec::ServerMessage& message);
     void finished(const codec::ServerMessage& message);
+    void take_named(Link& link, const codec::ServerMessage& message);
     void link_ended(Link& link, net::Connection::End why);
     void end_queued(Link& link, cinderfront::Ending how);
     void attempt_over(SessionId id, cinderfront::Ending how, const cinderfront::LoadReport& load);
--- a/src/agent/session_table.cpp
+++ b/src/agent/session_table.cpp
@@ -97,6 +97,7 @@
     Session* session = find(id);
     if (session == nullptr || session->phase == Phase::Answered) return;
     if (session->phase == Phase::Standing) {
+        if (mover_) mover_->cancel(id);
         servers_->end_session(id);
         end_attempt(id, Ending::Revoked, {});
         return;
@@ -134,6 +135,7 @@
         if (session.phase == Phase::Standing) ending.push_back(id);
     }
     for (const SessionId id : ending) {
+        if (mover_) mover_->cancel(id);
         viewers_->over(id, SessionEnd::Broken);
         servers_->end_session(id);
         end_attempt(id, Ending::Revoked, {});
@@ -162,6 +164,7 @@
 void SessionTable::session_ended(SessionId id, Ending how, const LoadReport& load) {
     const Session* session = find(id);
     if (session == nullptr || session->phase != Phase::Standing) return;
+    if (mover_ && mover_->source_ended(id)) return;  // it goes on elsewhere, or that is about to be known
     // The viewer hears first: what has stood must be released towards it at once.
     viewers_->over(id, how == Ending::Delivered ? SessionEnd::Completed
                        : how == Ending::Revoked ? SessionEnd::ViewerLeft
@@ -172,9 +175,74 @@
 void SessionTable::noted(SessionId id, cinderfront::NoteKind kind, double value) {
     const Session* session = find(id);
     if (session == nullptr || !session->out) return;
+    if (mover_) mover_->noted(session->server, kind, value);
     tell(cinderfront::Note{id, kind, session->attempts - 1, session->server, value});
 }
 
+// ---- Hand-overs ----
+
+void SessionTable::hand_over(const HandoverOrder& order) {
+    if (mover_) return mover_->change(order);
+    // Other agents hear of a shortage within the time between two notes.
+    const double spread = std::max(settings_.told_every, 1.0);
+    mover_ = std::make_unique<Mover>(loop_, log_, directory_, static_cast<MovableSessions&>(*this), *servers_,
+                                     order, spread, settings_.position + 1);
+}
+
+void SessionTable::begin_no_moves() {
+    if (mover_) mover_->stop();
+}
+
+void SessionTable::handed(SessionId id, ServerNumber from, const HandoverReply& reply) {
+    if (mover_) mover_->handed(id, from, reply);
+}
+
+void SessionTable::ended_at(SessionId id, ServerNumber from, std::uint64_t epoch, Ending how) {
+    if (mover_) mover_->ended_at(id, from, epoch, how);
+}
+
+void SessionTable::process_gone(ServerNumber server) {
+    if (mover_) mover_->process_gone(server);
+}
+
+MovableSessions::Movable SessionTable::movable_of(SessionId id, const Session& session) const {
+    return {id, session.server, settings_.classes[session.asked.request.cls].points, &session.asked};
+}
+
+// Of a session that was taken over the agent knows no description, and of its server's fence nothing.
+std::vector<MovableSessions::Movable> SessionTable::movable() const {
+    std::vector<Movable> list;
+    for (const auto& [id, session] : sessions_) {
+        const bool stands = session.phase == Phase::Standing && session.out;
+        if (stands && !session.asked.playing_at) list.push_back(movable_of(id, session));
+    }
+    std::sort(list.begin(), list.end(), [](const Movable& a, const Movable& b) { return a.id < b.id; });
+    return list;
+}
+
+std::optional<MovableSessions::Movable> SessionTable::movable(SessionId id) const {
+    const auto it = sessions_.find(id);
+    if (it == sessions_.end() || it->second.phase != Phase::Standing || !it->second.out) return std::nullopt;
+    return movable_of(id, it->second);
+}
+
+void SessionTable::moved(SessionId id, ServerNumber to, int rung) {
+    Session* session = find(id);
+    if (session == nullptr || session->phase != Phase::Standing) return;
+    session->server = to;
+    session->rung = rung;
+    servers_->rehome(id, to, rung);
+    tell(cinderfront::Rehomed{id, to, rung});
+}
+
+void SessionTable::lost(SessionId id, Ending how) {
+    const Session* session = find(id);
+    if (session == nullptr || session->phase != Phase::Standing) return;
+    viewers_->over(id, how == Ending::Delivered ? SessionEnd::Completed : SessionEnd::Broken);
+    servers_->end_session(id);
+    end_attempt(id, how, {});
+}
+
 void SessionTable::probed(ServerNumber server, Ending how, double latency, const LoadReport& load) {
     tell(cinderfront::ProbeResult{server, how, latency, load});
 }
@@ -276,11 +344,16 @@
 void SessionTable::act(const cinderfront::Move& action) {
     Session* session = find(action.id);
     if (session == nullptr || session->phase != Phase::Standing) return;
+    if (mover_) mover_->cancel(action.id);
     viewers_->moved(action.id);
     servers_->end_session(action.id);
     end_attempt(action.id, Ending::Revoked, {});
 }
 
+void SessionTable::act(const cinderfront::Offer& action) {
+    if (mover_) mover_->offered(action);
+}
+
 void SessionTable::act(const cinderfront::Timer& action) {
     loop_.deadlines().add(action.at, [this, token = action.token] { tell(cinderfront::TimerFired{token}); });
 }
--- a/src/agent/session_table.h
+++ b/src/agent/session_table.h
@@ -6,18 +6,20 @@
 #include <cinderfront/controller.h>
 
 #include <deque>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "agent/log.h"
+#include "agent/mover.h"
 #include "agent/seam.h"
 #include "net/loop.h"
 
 namespace jasperspread::agent {
 
-class SessionTable : public ViewerEvents, public ServerEvents {
+class SessionTable : public ViewerEvents, public ServerEvents, private MovableSessions {
 public:
     SessionTable(net::Loop& loop, Log& log, const cinderfront::Settings& settings, std::uint64_t seed,
                  const ServerDirectory& directory);
@@ -36,6 +38,15 @@
     void probed(ServerNumber server, cinderfront::Ending how, double latency,
                 const cinderfront::LoadReport& load) override;
 
+    void handed(SessionId id, ServerNumber from, const HandoverReply& reply) override;
+    void ended_at(SessionId id, ServerNumber from, std::uint64_t epoch, cinderfront::Ending how) override;
+    void process_gone(ServerNumber server) override;
+
+    // Sessions are handed over from here on, or by other settings. Throws handover::KeyError.
+    void hand_over(const HandoverOrder& order);
+    void begin_no_moves();
+    const Mover* mover() const { return mover_.get(); }
+
     // Ends what stands, towards both sides: this agent is about to go.
     void end_all();
     std::size_t unanswered() const { return unanswered_; }
@@ -62,6 +73,7 @@
     void act(const cinderfront::Refuse& action);
     void act(const cinderfront::Fail& action);
     void act(const cinderfront::Move& action);
+    void act(const cinderfront::Offer& action);
     void act(const cinderfront::Timer& action);
     void act(const cinderfront::Probe& action);
     void act(const cinderfront::CloseIdle& action);
@@ -70,6 +82,13 @@
     void act(const cinderfront::FetchList&) {}
     void act(const cinderfront::Trace& action);
 
+    std::vector<Movable> movable() const override;
+    std::optional<Movable> movable(SessionId id) const override;
+    void seek(SessionId id) override { tell(cinderfront::Seek{id}); }
+    void moved(SessionId id, ServerNumber to, int rung) override;
+    void lost(SessionId id, cinderfront::Ending how) override;
+    Movable movable_of(SessionId id, const Session& session) const;
+
     Session* find(SessionId id);
     void set_phase(Session& session, Phase phase);
     void end_attempt(SessionId id, cinderfront::Ending how, const cinderfront::LoadReport& load);
@@ -89,6 +108,7 @@
     std::size_t unanswered_ = 0, standing_ = 0;
     std::deque<cinderfront::Event> events_;
     bool telling_ = false;
+    std::unique_ptr<Mover> mover_;  // where sessions are handed over
 };
 
 }  // namespace jasperspread::agent
--- a/src/codec/server_codec.cpp
+++ b/src/codec/server_codec.cpp
@@ -105,7 +105,7 @@
     const auto verb = json.find("verb"), tag = json.find("tag");
     if (verb == json.end() || !verb->is_string()) malformed("a line has no verb");
     message.verb = verb_of(verb->get_ref<const std::string&>());
-    if (message.verb == ServerVerb::Unknown) message.name = verb->get_ref<const std::string&>();
+    if (message.verb == ServerVerb::Unknown) message.name = text_of(*verb, wide);
     if (tag != json.end()) {
         const auto id = tag->is_string() ? parse_hex(tag->get_ref<const std::string&>()) : std::nullopt;
         if (!id) malformed("a tag is not 16 hex digits");
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <functional>
 #include <iterator>
+#include <optional>
 #include <string>
 
 #include "agent/agent.h"
@@ -26,6 +27,20 @@
     return agent::read_config(text);
 }
 
+// What the operator file orders; nullopt where it is off. Throws where the key can't be used.
+std::optional<agent::HandoverOrder> handover_order(const ops::OperatorSettings& settings) {
+    if (!settings.handover.enabled) return std::nullopt;
+    std::ifstream file(settings.handover.key_file, std::ios::binary);
+    if (!file) throw ops::OperatorError("handover.key_file: expected a readable file");
+    const std::string key{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    try {
+        handover::TicketKeys check(key);
+    } catch (const handover::KeyError& error) {
+        throw ops::OperatorError(std::string("handover.key_file: ") + error.what());
+    }
+    return agent::HandoverOrder{settings.handover, key};
+}
+
 ops::OperatorSettings load_operator(const ops::Command& command) {
     return command.operator_file.empty() ? ops::OperatorSettings{}
                                          : ops::load_operator(command.operator_file);
@@ -42,17 +57,23 @@
 void serve(const ops::Command& command, agent::Config config) {
     net::SystemKernel kernel;
     net::Loop loop(kernel);
-    ops::LogSink log(load_operator(command).log, [&] { return kernel.now(); });
+    const ops::OperatorSettings settings = load_operator(command);
+    const auto order = handover_order(settings);
+    ops::LogSink log(settings.log, [&] { return kernel.now(); });
     std::function<void(int)> told;  // a signal that comes before it is there waits for the loop's first turn
     ops::Signals signals(loop, [&](int signal) { told(signal); });
     agent::Agent agent(loop, log, std::move(config));
+    if (order) agent.hand_over(*order);
     told = [&](int signal) {
         if (signal != SIGHUP) return agent.ask_to_end();
         // Guards against a file that is half written or wrong: the program goes on with what it has.
         try {
             const ops::OperatorSettings fresh = load_operator(command);
+            const auto fresh_order = handover_order(fresh);
             agent.reread(load_config(command.config));
             log.change(fresh.log);
+            if (fresh_order) agent.hand_over(*fresh_order);
+            if (!fresh_order && order) log.warn("handover_stays_on_until_the_next_start");
         } catch (const std::exception& error) {
             log.warn("reread_failed_keeps_old", {{"why", error.what()}});
         }
--- a/src/policy/brain.h
+++ b/src/policy/brain.h
@@ -555,7 +555,7 @@
         std::array<std::vector<Choice>, 2> drawn;
         double holders = 0, bad = 0;
         for (auto& [id, server] : servers) {
-            if (!may_serve(s, server)) continue;
+            if (!may_serve(s, server) || (s.out && id == s.server)) continue;
             holders += 1;
             bad += looks_bad(server);
             if (!may_resend_to(s, server) || !may_warm(server) || now < server.full_until) continue;
@@ -824,6 +824,37 @@
         if (s != nullptr && s->open && !s->playing) end(*s);
     }
 
+    // What a second of a session is worth where it plays: a short link costs points for what is missing, and
+    // a server that leaves takes all with it.
+    double worth_here(const Session& s, const Server& server) const {
+        const double short_by =
+            1 - std::min(is_short(server) ? server.share.value : 1.0, 1 / std::max(1.0, server.link.value));
+        const double kept = short_by > 1 - short_share ? std::max(0.0, 1 - set.stall_cost * short_by) : 1;
+        return server.entry.state == ServerState::Up ? cls(s).points * worth(s.rung) * kept : 0;
+    }
+    void on(const Seek& event) {
+        Session* s = find(event.id);
+        Server* here = s != nullptr && s->playing && s->out ? find_server(s->server) : nullptr;
+        if (here == nullptr || top_rung(*s) < 0) return;
+        look();
+        const Choice best = choose(*s, cls(*s).floor, top_rung(*s), price() * s->taste);
+        if (best.rung < 0 || best.bad) return;
+        const double gain = cls(*s).points * worth(best.rung) - worth_here(*s, *here);
+        if (gain <= 0) return;
+        find_server(best.server)->sends.push_back(now);  // it counts there as a set-up would, done or not
+        act(Offer{event.id, best.server, best.rung, gain});
+    }
+    void on(const Rehomed& event) {
+        Session* s = find(event.id);
+        if (s == nullptr || !s->playing || !s->out) return;
+        release(*s);
+        s->rung = event.rung;
+        s->rate = rate_of(*s, s->rung);
+        s->out = true;
+        s->since = s->changed = now;
+        s->server = event.server;
+        if (Server* server = find_server(event.server)) server->sessions.insert(event.id);
+    }
     void on(const ProbeResult&) {}
     void on(const PeerMessage&) {}
 
