--- a/lab/run/experiments.cpp
+++ b/lab/run/experiments.cpp
@@ -214,7 +214,7 @@
 
 Result run_handover(const Ask& ask) {
     Result result;
-    const HandoverRun with = play_handover(handover_plan(ask.seed, true), ask, 30, 60, 220, result);
+    const HandoverRun with = play_handover(handover_plan(ask.seed, true), ask, 30, 100, 220, result);
     const HandoverRun without =
         play_handover(handover_plan(ask.seed, false), ask, with.seconds, with.seconds, 0, result);
     const auto& sums = with.sums;
--- a/tests/lab/handover_test.cpp
+++ b/tests/lab/handover_test.cpp
@@ -282,6 +282,46 @@
     CHECK_EQ(other.ledger().sums().moves, 0);
 }
 
+TEST_CASE("a key is changed while sessions play: both keys are taken, then the new one signs") {
+    Stage stage(small_plan(), 300);
+    const std::string fresh(64, 'b');
+    stage.world.agent(0)->hand_over({stage.world.plan().handover, fresh + "\n" + ticket_key()});
+    CHECK_THROWS(stage.world.agent(0)->hand_over({stage.world.plan().handover, "no key"}));
+    stage.world.squeeze(stage.place(), 0.05);
+    stage.world.run_for(6);
+    // The servers know the old key only: what the new one signs is turned away, and the session plays on.
+    CHECK_EQ(stage.world.ledger().sums().moves, 0);
+    stage.world.agent(0)->hand_over({stage.world.plan().handover, ticket_key()});
+    stage.world.squeeze(stage.place(), 0.01);  // its rung is at the least meanwhile, which was relief enough
+    stage.world.run_for(100);                  // targets that turned it away are left alone for a while
+    CHECK_GE(stage.world.ledger().sums().moves, 1);
+    CHECK_EQ(stage.verdict(), "");
+}
+
+TEST_CASE("asked to end in the middle of many hand-overs, the agent ends in time and leaves nothing") {
+    WorldPlan plan = small_plan();
+    plan.link_kb = 60000;
+    plan.handover.out_of_source = 50;
+    plan.handover.into_target = 50;
+    SimWorld world(plan);
+    world.run_for(1);
+    for (int i = 0; i < 40; ++i) world.viewers(0).ask(0, 60);
+    world.run_for(2);
+    world.squeeze(0, 0.05);
+    for (int i = 0; i < 100000 && world.agent(0)->sessions().mover()->under_way().empty(); ++i)
+        world.run_for(0.0001);
+    REQUIRE_FALSE(world.agent(0)->sessions().mover()->under_way().empty());
+    world.viewers(0).stop_arrivals();  // nobody comes again
+    world.ask_agent_to_end(0);
+    constexpr double longest_s = 3.4 + 0.2;  // the stay after SIGTERM, and the last words
+    world.run_for(longest_s);
+    std::size_t left = 0;
+    world.run_for(6);
+    for (int server = 0; server < 3; ++server) left += world.server(server)->sessions();
+    CHECK_EQ(left, 0);
+    CHECK(world.ledger().violations().empty());
+}
+
 TEST_CASE("servers that don't announce the feature are left alone") {
     WorldPlan plan = small_plan();
     plan.servers_hand_over = false;
