Keep a hand-over to the terms it began with, and leave nothing behind of servers that went

Read once more: a PREPARE that was asked again took hold and probation from the settings of that moment, while the move reckons its times by those it began with. After a SIGHUP in between with longer ones, and a first PREPARE that was lost, a target could have held its place for longer than the agent waits before it resumes the source. It now takes the move's own terms. The planner kept conditions and back-offs of every server that it ever heard of; old ones go at each look. Unused fields and an empty statement are gone.

The module and the path without hand-over are unchanged.

--- a/lab/model/ledger.h
+++ b/lab/model/ledger.h
@@ -65,8 +65,7 @@
         bool over = false;
         int streaming_at = -1, last_at = -1, rung = 0;
         double last_stop = 0, last_move = 0;
-        bool yielded = false;      // the last stop was for a hand-over
-        std::map<int, int> tries;  // set-ups by server that may have run
+        bool yielded = false;  // the last stop was for a hand-over
         int may_have_run = 0, streams = 0;
         double server_over_at = 0;  // when a server ended it for good
     };
--- a/lab/run/experiments.cpp
+++ b/lab/run/experiments.cpp
@@ -192,7 +192,6 @@
         const double most = world.server(server)->fill_after_move_most();
         targets += most > 0 ? 1 : 0;
         over += most > 1 ? 1 : 0;
-        run.begun += 0;
     }
     for (int agent = 0; agent < plan.agents; ++agent) {
         const auto* mover = world.agent(agent)->sessions().mover();
--- a/src/agent/mover.cpp
+++ b/src/agent/mover.cpp
@@ -49,7 +49,7 @@
     for (const auto& one : sessions_.movable()) {
         const KnownServer* server = directory_.find(one.server);
         if (server == nullptr || !servers_.hands_over(one.server)) continue;
-        standing.push_back({one.id, one.server, !server->may_take_new(), 0});
+        standing.push_back({one.id, one.server, !server->may_take_new()});
     }
     for (const SessionId id : planner_.look(standing, loop_.now())) sessions_.seek(id);
     timer_.set(loop_.now() + settings_.look_every_s, [this] { look(); });
@@ -103,8 +103,8 @@
             word.title = session->asked->title;
             word.description = session->asked->description;
             word.rung = moving.rung;
-            word.hold_s = settings_.hold_s;
-            word.probation_s = settings_.probation_s;
+            word.hold_s = moving.move.settings().hold_s;
+            word.probation_s = moving.move.settings().probation_s;
             break;
         }
         case Order::Yield:
--- a/src/agent/mover.h
+++ b/src/agent/mover.h
@@ -4,7 +4,6 @@
 
 #include <cinderfront/controller.h>
 
-#include <functional>
 #include <map>
 #include <string>
 #include <vector>
--- a/src/handover/move.h
+++ b/src/handover/move.h
@@ -55,6 +55,8 @@
     double due() const;
 
     Step step() const { return step_; }
+    // The terms that it began with: its times are reckoned by them, whatever is set meanwhile.
+    const Settings& settings() const { return set_; }
     double source_hold_s() const { return source_hold_s_; }  // for YIELD; known from Yielding on
     // All that its further course depends on, beside the step: for tests that compare states.
     std::array<double, 6> times() const;
--- a/src/handover/planner.cpp
+++ b/src/handover/planner.cpp
@@ -30,6 +30,10 @@
 
 std::vector<SessionNumber> Planner::look(const std::vector<Standing>& standing, double now) {
     std::vector<SessionNumber> asked;
+    // What is old says nothing, and servers that have gone leave nothing behind.
+    std::erase_if(conditions_, [&](const auto& entry) { return now >= entry.second.noted + note_lives_s; });
+    std::erase_if(back_offs_,
+                  [&](const auto& entry) { return now >= entry.second.until + set_.back_off_most_s; });
     if (stopped_ || !in_budget(now)) return asked;
     // All agents with sessions at a short server hear of it in the same moment: each draws, so that they
     // leave over the time in which the servers' next notes tell of those that have left.
--- a/src/handover/planner.h
+++ b/src/handover/planner.h
@@ -21,7 +21,6 @@
     SessionNumber session = 0;
     ServerNumber server = 0;
     bool leaving = false;  // its server drains
-    double since = 0;      // it stands there since then
 };
 
 struct Offer {  // as the module gives it
