--- a/lab/model/faults.h
+++ b/lab/model/faults.h
@@ -13,6 +13,16 @@
 
 namespace lab {
 
+// Power fails at one instant for a building, or for all: agents, servers and the feeds there. Each is back
+// within a time of its own after the outage, or never; servers cold, agents in a new boot of their machine.
+struct PowerLoss {
+    std::optional<int> building;  // its zone; none: all
+    double outage_s = 1.5;
+    double agents_s = 2, servers_s = 3, feeds_s = 3;  // over which they come back then
+    double never_part = 0;                            // of the agents there
+    std::uint64_t seed = 1;                           // of what is drawn
+};
+
 // What a driver can do to its world, by the numbers of agents and servers.
 class World {
 public:
@@ -32,6 +42,7 @@
     virtual void kill_agent(int agent) = 0;  // and it starts again after a moment
     virtual void stop_agent(int agent, bool stopped) = 0;
     virtual void ask_agent_to_end(int agent) = 0;  // the same
+    virtual void power_fails(const PowerLoss& loss) = 0;
 };
 
 enum class Trouble {
--- a/lab/model/ledger.cpp
+++ b/lab/model/ledger.cpp
@@ -47,13 +47,19 @@
                   double now) const {
     constexpr double for_each_stalled = 2;
     if (now <= due + for_each_stalled * stalls_.length(0, since, now)) return false;
-    const int agent = agent_of(id);
+    const int agent = holder(id);
     if (stopped_.overlap(agent, troubles_from, now) || unreached_.overlap(agent, troubles_from, now))
         return false;
     return server < 0 || (!servers_.overlap(server, troubles_from, now) &&
                           !links_.overlap(link_number(agent, server), troubles_from, now));
 }
 
+// The agent that has it: the one that was asked, or to which its viewer has named it since.
+int Ledger::holder(SessionId id) const {
+    const auto it = viewed_.find(id);
+    return it == viewed_.end() || it->second.agent < 0 ? agent_of(id) : it->second.agent;
+}
+
 // ---- Viewers ----
 
 void Ledger::asked(SessionId id, int cls, int top, double now, double deadline) {
@@ -64,6 +70,7 @@
     note(id, "asks", -1, now);
     viewed.deadline = deadline;
     ++sums_.asked;
+    sums_.paid_asked += plan_.classes[static_cast<std::size_t>(cls)].paid ? 1 : 0;
 }
 
 void Ledger::answered(SessionId id, const std::string& description, double now) {
@@ -73,6 +80,7 @@
     viewed->settled = true;
     viewed->answered = now;
     ++sums_.answered;
+    sums_.paid_answered += plan_.classes[static_cast<std::size_t>(viewed->cls)].paid ? 1 : 0;
     viewed->over = viewed->orphan;  // what its process said last before it died
     if (!viewed->made_for.contains(description))
         violate("an answer that no server gave for " + std::to_string(id), now);
@@ -137,9 +145,16 @@
     if (viewed->left_at == 0) viewed->left_at = now;
 }
 
-int Ledger::claims(SessionId id) {
+bool Ledger::streams(SessionId id) const {
+    const auto it = viewed_.find(id);
+    return it != viewed_.end() && it->second.streaming_at >= 0;
+}
+
+int Ledger::claims(SessionId id, int agent) {
     Viewed* viewed = find(id);
     if (viewed == nullptr || viewed->streaming_at < 0) return -1;
+    note(id, "named again to an agent", viewed->streaming_at, 0);
+    viewed->agent = agent;
     viewed->orphan = viewed->over = false;
     ++sums_.claimed;
     return viewed->streaming_at;
@@ -166,7 +181,7 @@
 void Ledger::agent_died(int agent, double now) {
     deaths_[agent].push_back(now);
     for (auto& [id, viewed] : viewed_) {
-        if (agent_of(id) != agent) continue;
+        if (holder(id) != agent) continue;
         viewed.orphan = true;
         if (viewed.settled) viewed.over = true;
     }
@@ -211,6 +226,7 @@
         cold_since_.erase(since);
         return;
     }
+    ++sums_.sent_cold;
     auto& came = work_[server];
     came.push_back(now);
     while (came.front() <= now - cold.fall_s) came.pop_front();
@@ -218,6 +234,11 @@
     const double most = cold.fall_multiple * plan_.places / cold.warm_s * warmed * cold.fall_s;
     if (static_cast<double>(came.size()) <= most) return;
     ++sums_.cold_pushed_over;
+    if (falls_) {
+        cold_since_.erase(since);  // it falls once
+        work_.erase(server);
+        return falls_(server);
+    }
     violate("cold server " + std::to_string(server) + " was sent " + std::to_string(came.size()) +
                 " set-ups in a window that bears " + std::to_string(most),
             now);
--- a/lab/model/ledger.h
+++ b/lab/model/ledger.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -31,7 +32,8 @@
     void finds_nobody(int cls, int top, double seconds);  // no agent is there to be asked
     void told_over(SessionId id, double now);             // a release after the answer
     // Its agent died and has returned, and its viewer names it to that: the server where it plays, or -1.
-    int claims(SessionId id);
+    int claims(SessionId id, int agent);
+    bool streams(SessionId id) const;                // at some server, now
     void connection_lost(SessionId id, double now);  // with its set-up open
 
     // ---- Agents ----
@@ -57,6 +59,7 @@
     void drained(int server, double now) { drained_[server] = now; }
     void listed(int server) { drained_.erase(server); }
     void starts_cold(int server, double now);
+    void server_down(int server) { cold_since_.erase(server); }
     // Frozen, dead or vanished.
     void server_trouble(int server, bool begins, double now);
 
@@ -66,6 +69,8 @@
     struct Sums {
         std::uint64_t asked = 0, answered = 0, refused = 0, failed = 0, given_up = 0, lost = 0;
         std::uint64_t excused = 0;  // open at a process that died
+        std::uint64_t paid_asked = 0, paid_answered = 0;
+        std::uint64_t sent_cold = 0;  // set-ups and reservations at servers that had just started
         std::uint64_t set_ups = 0, duplicate_setups = 0, double_payments = 0;
         std::uint64_t moves = 0, moved_again = 0;  // hand-overs, and those within 30 s of the one before
         std::uint64_t late_after_drain = 0, cold_pushed_over = 0;
@@ -80,6 +85,8 @@
     void violate(std::string what, double now);
     // Prints all that is seen of one session: the first thing to look at when a rule is broken.
     void follow(SessionId id) { followed_ = id; }
+    // Called when a cold server is sent more than it bears, where that is a figure and not a broken rule.
+    void count_falls(std::function<void(int server)> falls) { falls_ = std::move(falls); }
 
 private:
     struct Viewed {
@@ -88,6 +95,7 @@
         bool settled = false;  // answered, refused, failed or given up
         bool over = false;
         bool orphan = false;  // the process that held it died
+        int agent = -1;       // that it was named to since
         int streaming_at = -1, last_at = -1, rung = 0;
         double began = 0, last_stop = 0, last_move = 0;  // of its streams
         bool yielded = false;                            // the last stop was for a hand-over
@@ -101,6 +109,7 @@
     void note(SessionId id, const char* what, int server, double now) const;
     double worth(int cls, int rung) const;
     Viewed* find(SessionId id);
+    int holder(SessionId id) const;
     void work_came(int server, double now);
     bool late(SessionId id, int server, double since, double due, double now) const {
         return late(id, server, since, since, due, now);
@@ -116,6 +125,7 @@
     Troubles servers_, stopped_, unreached_, links_, stalls_;
     std::map<int, std::vector<double>> deaths_;
     SessionId followed_ = 0;
+    std::function<void(int)> falls_;
     Sums sums_;
     std::vector<std::string> violations_;
 };
--- a/lab/model/server.cpp
+++ b/lab/model/server.cpp
@@ -24,6 +24,7 @@
 constexpr double share_seen_s = 1.0;   // over which the told share is smoothed
 constexpr double reserve_limit = 0.9;  // of the link, reservations counted: where set-ups stop too
 constexpr double short_share = 0.98;
+constexpr double owed_for_s = 10;  // what is said to all is said on connections that come within so long
 
 double number_in(const ServerMessage& message, const char* name, double usual) {
     const std::string* text = message.field(name);
@@ -143,6 +144,9 @@
     if (plan_.servers_hand_over)
         connection.send(
             "{\"verb\":\"FEATURE\",\"tag\":\"0000000000000000\",\"opts\":{\"handover\":\"1\"}}\n");
+    for (auto& [at, text, told] : owed_all_) {
+        if (loop_.now() <= at + owed_for_s && told.insert(agent).second) connection.send(text);
+    }
     if (const auto owed = owed_.find(agent); owed != owed_.end()) {
         for (const std::string& text : owed->second) connection.send(text);
         owed_.erase(owed);
@@ -154,7 +158,9 @@
     std::vector<SessionId> given_up;
     for (auto& [id, held] : sessions_) {
         if (held.connection == number && held.waits) given_up.push_back(id);
-        if (held.connection == number) held.connection = 0;
+        if (held.connection != number) continue;
+        held.connection = 0;
+        held.orphan = true;
     }
     for (const SessionId id : given_up) end(id, cause_cancelled, false);
     for (const auto& [from, message] : waiting_) {
@@ -190,6 +196,7 @@
 
 // On the connection of its set-up, or any open one of its agent, or the next one.
 void LessonServer::say(const Held& held, const Message& message) {
+    if (held.orphan && message.verb == ServerVerb::Finish) return say_to_all(encode(message));
     if (Connection* own = connection(held.connection); own != nullptr && own->is_open())
         return own->send(encode(message));
     for (const auto& [number, agent] : agent_of_) {
@@ -199,6 +206,17 @@
     if (message.verb == ServerVerb::Finish) owed_[held.agent].push_back(encode(message));
 }
 
+// Whoever has taken the session over since hears of its end, now or on its next connection.
+void LessonServer::say_to_all(const std::string& text) {
+    std::set<std::uint64_t> told;
+    for (const auto& [number, agent] : agent_of_) {
+        Connection* other = connection(number);
+        if (other != nullptr && other->is_open() && told.insert(agent).second) other->send(text);
+    }
+    owed_all_.push_back({loop_.now(), text, std::move(told)});
+    while (owed_all_.front().at < loop_.now() - owed_for_s) owed_all_.pop_front();
+}
+
 // ---- Messages ----
 
 void LessonServer::take(std::uint64_t from, const Message& message) {
--- a/lab/model/server.h
+++ b/lab/model/server.h
@@ -49,6 +49,7 @@
         bool playing = false;          // streams now, as the fleet and the ledger have it
         bool reserved = false;         // held by the fleet for a reservation
         bool waits = false;            // set up, not yet answered
+        bool orphan = false;           // its connection has gone: another agent may hold it since
         jasperspread::handover::ServerSide side;
         jasperspread::net::Deadlines::Key due{0, 0}, lapse{0, 0};
     };
@@ -67,6 +68,7 @@
     void erase(SessionId id);
     void end(SessionId id, int cause, bool tell);
     void say(const Held& held, const Message& message);
+    void say_to_all(const std::string& text);
     void say_on(std::uint64_t number, const Message& message);
     void notes();
     double rate_of(const Held& held, int rung) const;
@@ -83,8 +85,14 @@
     std::map<SessionId, std::uint64_t> fences_;               // of sessions that have gone
     std::map<std::uint64_t, std::uint64_t> agent_of_;         // by connection
     std::map<std::uint64_t, std::vector<std::string>> owed_;  // by agent: words for its next connection
-    std::deque<std::pair<std::uint64_t, Message>> waiting_;   // what came while frozen
-    std::deque<std::pair<double, double>> fills_;             // time and fill, for notes that speak of before
+    struct OwedToAll {
+        double at = 0;
+        std::string text;
+        std::set<std::uint64_t> told;
+    };
+    std::deque<OwedToAll> owed_all_;
+    std::deque<std::pair<std::uint64_t, Message>> waiting_;  // what came while frozen
+    std::deque<std::pair<double, double>> fills_;            // time and fill, for notes that speak of before
     std::map<std::uint64_t, bool> was_short_;
     bool frozen_ = false;
     double noted_ = 0, shared_ = 0, smooth_share_ = 1, fill_after_move_most_ = 0;
--- a/lab/model/viewers.cpp
+++ b/lab/model/viewers.cpp
@@ -19,6 +19,7 @@
 // Its time and the slack, so that a late answer is still seen; and longer where the slack is wide, so that
 // stalls of the laboratory don't excuse one that never comes.
 constexpr double waits_beyond_s = 0.3, waits_in_slacks = 2;
+constexpr double front_notices_s = 1.0;    // that an agent is not there
 constexpr double asks_after_term_s = 0.5;  // set-ups keep coming so long after SIGTERM
 constexpr std::uint8_t cause_gone = 16;
 
@@ -100,6 +101,7 @@
         asked.title = random_() % static_cast<std::uint64_t>(plan_.titles);
         send_set_up(asked);
     }
+    ++arrivals_;
     after(-std::log(1 - uniform() * 0.999) / rate_, [this] { arrive(); });
 }
 
@@ -140,6 +142,7 @@
         if (by_itself)
             ledger_.violate("an agent ended and left its viewer untold " + std::to_string(id), loop_.now());
         if (!by_itself && plan_.claimed_part > 0 && uniform() < plan_.claimed_part) {
+            loop_.deadlines().cancel(std::exchange(watched.asked.due, {0, 0}));
             claims_[id] = watched;
             continue;
         }
@@ -148,18 +151,39 @@
         asked.wish.length_s -= loop_.now() - watched.since;
         if (asked.wish.length_s > 1) come_again(asked);
     }
+    claimed_.clear();
+    if (!claims_.empty()) after(front_notices_s, [this] { claim_elsewhere(); });
 }
 
-// A set-up with `at` wants no answer: its viewer watches on.
-void Viewers::claim() {
-    for (auto& [id, watched] : std::exchange(claims_, {})) {
-        const int server = ledger_.claims(id);
-        if (server < 0) continue;  // it has ended meanwhile
-        Message message = set_up_message(id, watched.asked);
-        message.figures["at"] = server_id(server);
-        say(message);
-        watching_[id] = watched;
+// A set-up with `at` wants no answer: its viewer watches on. What has ended meanwhile is asked for anew.
+void Viewers::claim_here(SessionId id, const Watched& watched) {
+    const int server = ledger_.claims(id, agent_);
+    if (server < 0) {
+        Asked asked = watched.asked;
+        asked.wish.length_s -= loop_.now() - watched.since;
+        if (asked.wish.length_s > 1) come_again(asked);
+        return;
     }
+    ++claims_made_;
+    claimed_.insert(id);
+    Message message = set_up_message(id, watched.asked);
+    message.figures["at"] = server_id(server);
+    say(message);
+    Watched& here = watching_[id] = watched;
+    const double stays = here.leaves_at - loop_.now();
+    here.asked.due = loop_.deadlines().add(loop_.now() + std::max(0.0, stays), [this, id] { leave(id); });
+}
+
+void Viewers::claim() {
+    for (auto& [id, watched] : std::exchange(claims_, {})) claim_here(id, watched);
+}
+
+// The front has noticed that the agent is not there, and brings its viewers to others.
+void Viewers::claim_elsewhere() {
+    if (claims_.empty() || takes_new()) return;
+    Viewers* other = elsewhere_ ? elsewhere_() : nullptr;
+    if (other == nullptr || !other->takes_new()) return after(front_notices_s, [this] { claim_elsewhere(); });
+    for (auto& [id, watched] : std::exchange(claims_, {})) other->claim_here(id, watched);
 }
 
 Viewers::Message Viewers::set_up_message(SessionId id, const Asked& asked) const {
@@ -203,9 +227,10 @@
     return id;
 }
 
-void Viewers::come_again(Asked asked) {
+void Viewers::come_again(Asked asked, double not_before_s) {
     if (!arriving_ || ++asked.again > most_agains || uniform() >= plan_.again_part) return;
-    after(back_least_s + back_spread_s * uniform(), [this, asked] { send_set_up(asked); });
+    const double own = back_least_s + back_spread_s * uniform();
+    after(std::max(own, not_before_s), [this, asked] { send_set_up(asked); });
 }
 
 void Viewers::take(const Message& message) {
@@ -228,7 +253,8 @@
         // Some leave before the title is over.
         constexpr double leave_part = 0.2;
         const double stays = uniform() < leave_part ? watched.asked.wish.length_s * uniform() : 1e6;
-        watched.asked.due = loop_.deadlines().add(loop_.now() + stays, [this, id] { leave(id); });
+        watched.leaves_at = loop_.now() + stays;
+        watched.asked.due = loop_.deadlines().add(watched.leaves_at, [this, id] { leave(id); });
     } else if (message.is(ViewerType::Release)) {
         Message heard;
         heard.type = static_cast<std::uint8_t>(ViewerType::ReleaseHeard);
@@ -244,7 +270,8 @@
         loop_.deadlines().cancel(asked->second.due);
         const Asked again = asked->second;
         asked_.erase(asked);
-        come_again(again);
+        const bool heeds = plan_.heeds_part > 0 && uniform() < plan_.heeds_part;
+        come_again(again, heeds ? message.stay_away_ms.value_or(0) / 1000 : 0);
     } else if (message.is(ViewerType::Move)) {
         over(id, true);
     }
@@ -254,6 +281,7 @@
     const auto it = watching_.find(id);
     if (it == watching_.end()) return;
     ledger_.told_over(id, loop_.now());
+    if (claimed_.erase(id) > 0 && broken && ledger_.streams(id)) ++claims_lost_;
     loop_.deadlines().cancel(it->second.asked.due);
     Asked asked = it->second.asked;
     asked.wish.length_s -= loop_.now() - it->second.since;
@@ -322,6 +350,13 @@
     return end + 4;
 }
 
+void Feed::loses_power() {
+    dark_ = true;
+    stop_listening();
+    drop_all();
+    listening_.clear();
+}
+
 void Feed::comment() {
     for (const std::uint64_t number : listening_) {
         if (Connection* to = silent_ ? nullptr : connection(number)) to->send(": still here\n\n");
--- a/lab/model/viewers.h
+++ b/lab/model/viewers.h
@@ -37,6 +37,10 @@
     void leave_all();  // all that watch
     std::uint64_t refusals() const { return refusals_; }
     std::uint64_t answers() const { return answers_; }
+    std::uint64_t arrivals() const { return arrivals_; }  // viewers, however often each asked
+    std::uint64_t asks() const { return serial_; }
+    std::uint64_t claims_made() const { return claims_made_; }
+    std::uint64_t claims_lost() const { return claims_lost_; }  // ended though they played on
     std::uint64_t open() const { return asked_.size(); }
     bool takes_new() const { return ready_ && !leaving_; }
     std::size_t waiting() const { return waiting_.size(); }  // with nobody to ask
@@ -53,7 +57,7 @@
     };
     struct Watched {
         Asked asked;
-        double since = 0;
+        double since = 0, leaves_at = 0;
     };
 
     void left(std::uint64_t number, Connection::End why) override;
@@ -64,7 +68,9 @@
     SessionId send_set_up(Asked asked);
     SessionId send_here(Asked asked);
     void wait_for_somebody(Asked asked);
-    void come_again(Asked asked);
+    void come_again(Asked asked, double not_before_s = 0);
+    void claim_here(SessionId id, const Watched& watched);
+    void claim_elsewhere();
     void over(SessionId id, bool broken);
     Message set_up_message(SessionId id, const Asked& asked) const;
     void claim();  // of an agent that has returned: the sessions that played on meanwhile
@@ -84,7 +90,8 @@
     std::map<std::uint64_t, Asked> waiting_;
     std::uint64_t waits_ = 0;
     double rate_ = 0;
-    std::uint64_t refusals_ = 0, answers_ = 0;
+    std::uint64_t refusals_ = 0, answers_ = 0, arrivals_ = 0, claims_made_ = 0, claims_lost_ = 0;
+    std::set<SessionId> claimed_;  // those that stand
     std::map<SessionId, Asked> asked_;
     std::map<SessionId, Watched> watching_, claims_;
     std::set<std::pair<double, std::uint64_t>> timers_;
@@ -99,6 +106,11 @@
     nlohmann::json known() const;  // as an agent's configuration holds it
     void change(int server, const std::string& phase, double up_since = 0);
     void silence(bool silent) { silent_ = silent; }
+    // Its machine loses power: who listens is cut off, and whoever comes is refused until it is back.
+    void loses_power();
+    void comes_back(const jasperspread::net::Address& at) {
+        if (std::exchange(dark_, false)) listen(at);
+    }
 
 private:
     std::size_t heard(std::uint64_t number, std::string_view bytes) override;
@@ -109,7 +121,7 @@
     std::vector<Member> members_;
     std::vector<std::string> events_;  // from number 2 on, as they are sent
     std::set<std::uint64_t> listening_;
-    bool silent_ = false;
+    bool silent_ = false, dark_ = false;
     jasperspread::net::Timer timer_;
 };
 
--- a/lab/model/world.h
+++ b/lab/model/world.h
@@ -9,6 +9,7 @@
 #include "fleet/settings.h"
 #include "handover/settings.h"
 #include "net/socket.h"
+#include "recovery/settings.h"
 #include "store/settings.h"
 
 namespace lab {
@@ -22,6 +23,8 @@
 // How a lesson server that has just started warms up (the fourth rule's figures).
 struct ColdPlan {
     double warm_s = 12, from = 0.4, fall_s = 3, fall_multiple = 4;
+    bool falls = false;   // one that is sent more than it bears goes down
+    double back_s = 1.5;  // and is back, cold, after so long
 };
 
 struct WorldPlan {
@@ -52,6 +55,9 @@
     jasperspread::store::Settings store;  // where they do; folders are the driver's business
     bool agents_talk = false;
     jasperspread::fleet::Settings fleet;  // where they do; addresses and seeds are the driver's business
+    bool agents_recover = false;          // they come back by stages
+    jasperspread::recovery::Settings recovery;
+    double heeds_part = 0;  // of the viewers who are told to stay away do
 
     int cell_of(int server) const { return server % cells; }
     int rack_of(int server) const { return cell_of(server) % racks; }
--- a/lab/run/experiments.h
+++ b/lab/run/experiments.h
@@ -13,9 +13,11 @@
     std::string program;  // the agent, for experiments on sockets
     std::string folder;   // for its files
     std::string plot;     // data for a picture goes there, where the experiment has one
-    int agents = 8;       // processes, where the experiment lets that be chosen
-    std::string broken;   // the name of a broken agent that takes the place of the sound one
+    int agents = 0;       // where the experiment lets that be chosen; 0: as it usually has
+    int agents_or(int usual) const { return agents > 0 ? agents : usual; }
+    std::string broken;  // the name of a broken agent that takes the place of the sound one
     std::string broken_program;
+    std::string order;         // of return after a power loss: only this one
     std::uint64_t follow = 0;  // the session of which all is printed
     bool cut_down = false;     // a failing plan of faults is cut down to a smaller one
 };
@@ -32,16 +34,18 @@
 };
 const std::vector<Experiment>& experiments();
 
-Result run_handover(const Ask& ask);         // sockets
-Result run_handover_fleet(const Ask& ask);   // 100 agents and 60 servers in virtual time
-Result run_rules(const Ask& ask);            // random faults in virtual time
-Result run_processes(const Ask& ask);        // the same with processes of the program
-Result run_short(const Ask& ask);            // ten seconds that show each broken agent, in virtual time
-Result run_short_processes(const Ask& ask);  // and with processes
-Result run_kills(const Ask& ask);            // processes that remember, killed one by one
-Result run_durability(const Ask& ask);       // the store alone
-Result run_membership(const Ask& ask);       // 300 agents that talk, in virtual time
-Result run_load(const Ask& ask);             // sockets: what a set-up costs the agent
+Result run_handover(const Ask& ask);          // sockets
+Result run_handover_fleet(const Ask& ask);    // 100 agents and 60 servers in virtual time
+Result run_rules(const Ask& ask);             // random faults in virtual time
+Result run_processes(const Ask& ask);         // the same with processes of the program
+Result run_short(const Ask& ask);             // ten seconds that show each broken agent, in virtual time
+Result run_short_processes(const Ask& ask);   // and with processes
+Result run_kills(const Ask& ask);             // processes that remember, killed one by one
+Result run_durability(const Ask& ask);        // the store alone
+Result run_power_loss(const Ask& ask);        // processes: buildings and all lose power
+Result run_power_loss_fleet(const Ask& ask);  // 300 agents in virtual time, each order of return
+Result run_membership(const Ask& ask);        // 300 agents that talk, in virtual time
+Result run_load(const Ask& ask);              // sockets: what a set-up costs the agent
 
 Result run_demo(const Ask& ask);  // sockets: ten seconds of service
 
--- a/lab/run/kills.cpp
+++ b/lab/run/kills.cpp
@@ -72,7 +72,7 @@
     for (const bool remembers : {true, false}) {
         const std::string folder = ask.folder + (remembers ? "/with" : "/without");
         std::filesystem::create_directory(folder);
-        const Result one = play_kills({ask.seed, ask.agents, 200, 0.5, remembers}, ask.program, folder);
+        const Result one = play_kills({ask.seed, ask.agents_or(8), 200, 0.5, remembers}, ask.program, folder);
         for (const std::string& what : one.violations) result.violations.push_back(what);
         for (const auto& [name, value] : one.figures)
             result.figures.emplace_back(remembers ? name : name + "_without", value);
--- a/lab/run/rules.cpp
+++ b/lab/run/rules.cpp
@@ -51,7 +51,7 @@
 }
 
 Result run_processes(const Ask& ask) {
-    RulesPlan plan = rules_plan(ask.seed, ask.agents, processes_s, 0.5);
+    RulesPlan plan = rules_plan(ask.seed, ask.agents_or(8), processes_s, 0.5);
     plan.follow = ask.follow;
     return play_processes(plan, ask.broken.empty() ? ask.program : ask.broken_program, ask.folder,
                           ask.broken);
--- a/lab/run/socket_world.cpp
+++ b/lab/run/socket_world.cpp
@@ -3,6 +3,7 @@
 #include <signal.h>
 #include <sys/resource.h>
 #include <sys/stat.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <fstream>
@@ -30,8 +31,13 @@
     ::setrlimit(RLIMIT_NOFILE, &limit);
 }
 
+// A loopback address of this process alone, and a free port there: a party that is away for a while finds its
+// port free when it comes back, whatever other laboratories and connections are given meanwhile.
 jasperspread::net::Address anywhere() {
-    return *jasperspread::net::parse_address("127.0.0.1:0");
+    const auto own = static_cast<unsigned>(::getpid());
+    const auto part = [own](unsigned shift) { return std::to_string(own >> shift & 0xFFU); };
+    return *jasperspread::net::parse_address("127." + std::to_string(1 + (own >> 16) % 250) + "." + part(8) +
+                                             "." + part(0) + ":0");
 }
 
 }  // namespace
@@ -45,6 +51,10 @@
       random_(plan.seed),
       ticker_(loop_) {
     take_all_descriptors();
+    ledger_.count_falls(
+        plan_.cold.falls
+            ? [this](int server) { after(0, [this, server] { kill_server(server, plan_.cold.back_s); }); }
+            : std::function<void(int)>());
     servers_.resize(static_cast<std::size_t>(plan_.servers));
     server_at_.resize(servers_.size());
     agents_.resize(static_cast<std::size_t>(plan_.agents));
@@ -108,10 +118,11 @@
     made = std::make_unique<LessonServer>(loop_, plan_, server, fleet_, ledger_,
                                           plan_.seed * 104729 + ++server_starts_);
     auto& addresses = server_at_[at];
-    addresses.resize(agents_.size(), anywhere());
     // A listener for each agent tells whose connection it is: all come from one address here.
-    for (std::size_t agent = 0; agent < agents_.size(); ++agent)
+    for (std::size_t agent = 0; agent < agents_.size(); ++agent) {
+        if (addresses.size() <= agent) addresses.push_back(anywhere());
         addresses[agent] = made->listen(addresses[agent], agent + 1);
+    }
     ledger_.server_trouble(server, false, now());
 }
 
@@ -129,7 +140,15 @@
         yaml << "store:\n  folder: " << own.folder << "\n  boot_file: " << own.folder << "/boot"
              << "\n  claim_s: " << store.claim_s << "\n  lazy_s: " << store.lazy_s
              << "\n  again_s: " << store.again_s << "\n  without: " << store.without << "\n";
-        write_file(own.folder + "/boot", "one boot");
+    }
+    if (plan_.agents_remember || plan_.agents_recover) {
+        const auto& back = plan_.recovery;
+        yaml << "recovery:\n  order: \"" << back.order << "\"\n  uptime_file: " << own.folder
+             << "/uptime\n  spread_s: " << back.spread_s << "\n  ask_s: " << back.ask_s
+             << "\n  list_s: " << back.list_s << "\n  probe_s: " << back.probe_s
+             << "\n  paid_s: " << back.paid_s << "\n  rest_s: " << back.rest_s
+             << "\n  rest_from: " << back.rest_from << "\n  delay_s: " << back.delay_s
+             << "\n  stay_away_s: " << back.stay_away_s << "\n";
     }
     if (plan_.agents_talk) {
         const auto& talk = plan_.fleet;
@@ -145,8 +164,20 @@
     write_file(own.folder + "/operator.yaml", yaml.str());
 }
 
+void SocketWorld::write_boot(const Slot& own) {
+    constexpr double long_up_s = 1e6;
+    write_file(own.folder + "/boot", "boot " + std::to_string(own.boots));
+    write_file(own.folder + "/uptime", std::to_string(own.boots == 0 ? long_up_s : now() - own.up_since));
+}
+
+void SocketWorld::boots(int agent, double up_since) {
+    ++slot(agent).boots;
+    slot(agent).up_since = up_since;
+}
+
 void SocketWorld::start_agent(int agent) {
     Slot& own = slot(agent);
+    write_boot(own);
     nlohmann::json config = agent_config(plan_, agent, own.listen, own.feed_at, own.feed->known());
     ++own.starts;  // with the same configuration each time, as an operator would
     write_file(own.folder + "/config.json", config.dump());
@@ -168,7 +199,7 @@
             ledger_.violate("agent " + std::to_string(agent) + " ended with status " +
                                 std::to_string(own.process->status()),
                             now());
-        return gone(agent, true);
+        return gone(agent, true, agent_starts_after_s);
     }
     if (own.up) return;
     const auto listens = own.process->listens();
@@ -186,13 +217,15 @@
     if (!std::exchange(own.viewers_began, true)) own.viewers->start(own.listens);
 }
 
-void SocketWorld::gone(int agent, bool by_itself) {
+void SocketWorld::gone(int agent, bool by_itself, std::optional<double> back_after) {
     if (!by_itself) ledger_.agent_died(agent, now());
     if (std::exchange(slot(agent).stopped, false)) ledger_.agent_stops(agent, false, now());
     constexpr double last_words_s = 0.1;  // what it said last is on its way still
     after(last_words_s, [this, agent, by_itself] { viewers(agent).agent_gone(by_itself); });
-    after(agent_starts_after_s, [this, agent] {
-        if (!process(agent).started()) start_agent(agent);
+    if (!back_after) return;
+    // What was ordered before the last loss is void.
+    after(*back_after, [this, agent, which = ++slot(agent).goings] {
+        if (slot(agent).goings == which && !process(agent).started()) start_agent(agent);
     });
 }
 
@@ -249,6 +282,7 @@
     if (!one) return;
     one->die();
     one.reset();
+    ledger_.server_down(server);
     if (options_.relayed) {
         for (Slot& own : agents_) own.to_servers[static_cast<std::size_t>(server)]->refuse(true);
     }
@@ -282,7 +316,33 @@
 void SocketWorld::kill_agent(int agent) {
     if (!process(agent).runs()) return;
     process(agent).kill();
-    gone(agent, false);
+    gone(agent, false, agent_starts_after_s);
+}
+
+// All are killed first, so that none sees another one die.
+void SocketWorld::power_fails(const PowerLoss& loss) {
+    std::mt19937_64 random(loss.seed);
+    const auto uniform = [&] { return static_cast<double>(random() >> 11) * 0x1p-53; };
+    const auto dark = [&](int zone) { return !loss.building || *loss.building == zone; };
+    std::vector<std::optional<double>> back;
+    for (int agent = 0; agent < plan_.agents; ++agent) {
+        const double at = loss.outage_s + loss.agents_s * uniform();
+        back.push_back(uniform() < loss.never_part ? std::nullopt : std::optional(at));
+        if (dark(agent % plan_.zones)) process(agent).kill();
+    }
+    for (int server = 0; server < plan_.servers; ++server) {
+        const double at = loss.outage_s + loss.servers_s * uniform();
+        if (dark(plan_.zone_of(server))) kill_server(server, at);
+    }
+    for (int agent = 0; agent < plan_.agents; ++agent) {
+        const double feed_back = loss.outage_s + loss.feeds_s * uniform();
+        if (!dark(agent % plan_.zones)) continue;
+        Slot& own = slot(agent);
+        own.feed->loses_power();
+        after(feed_back, [this, agent] { slot(agent).feed->comes_back(slot(agent).feed_at); });
+        boots(agent, now() + loss.outage_s);
+        gone(agent, false, back[static_cast<std::size_t>(agent)]);
+    }
 }
 
 void SocketWorld::stop_agent(int agent, bool stopped) {
--- a/lab/run/socket_world.h
+++ b/lab/run/socket_world.h
@@ -48,6 +48,9 @@
     void kill_agent(int agent) override;
     void stop_agent(int agent, bool stopped) override;
     void ask_agent_to_end(int agent) override;
+    void power_fails(const PowerLoss& loss) override;
+    // The agent's machine is in a new boot since `up_since`, as its files tell.
+    void boots(int agent, double up_since);
     // Datagrams of one agent don't reach the other; those of the other still come.
     void deaf(int from, int to, bool is_deaf);
     void set_lossy(const Lossy& lossy);                       // of datagrams, between all agents
@@ -71,13 +74,15 @@
         std::optional<jasperspread::net::Address> talks_from;
         std::unique_ptr<Viewers> viewers;
         bool up = false, asked_to_end = false, stopped = false, viewers_began = false;
-        int starts = 0;
+        int starts = 0, boots = 0, goings = 0;
+        double up_since = 0;  // of its machine; 0: for long
     };
     Slot& slot(int agent) { return agents_[static_cast<std::size_t>(agent)]; }
     void start_server(int server);
     void start_agent(int agent);
     void write_settings(const Slot& slot, const std::string& key) const;
-    void gone(int agent, bool by_itself);
+    void gone(int agent, bool by_itself, std::optional<double> back_after);
+    void write_boot(const Slot& slot);
     void look_after(int agent);
     Viewers* somebody_else(int agent);
     void after(double seconds, std::function<void()> what);
--- a/lab/sim/sim_disk.h
+++ b/lab/sim/sim_disk.h
@@ -25,6 +25,10 @@
     bool holds(jasperspread::store::SessionId id) const { return bodies_.contains(id); }
     std::size_t sessions() const { return bodies_.size() - bodies_.count(jasperspread::store::list_place); }
 
+    // In which boot it was last opened, and is now.
+    const std::string& boot_before() const { return boot_; }
+    void booted(const std::string& boot) { boot_ = boot; }
+
     jasperspread::store::Found load(const std::string& agent) {
         jasperspread::store::Found found;
         found.before = {agent, lives_++, "one boot"};
@@ -64,6 +68,7 @@
     Fault fault_ = Fault::None;
     std::vector<jasperspread::store::Change> out_;
     std::map<jasperspread::store::SessionId, std::string> bodies_;
+    std::string boot_;
     std::uint64_t lives_ = 0;
     std::size_t batches_ = 0;
 };
--- a/lab/sim/sim_world.cpp
+++ b/lab/sim/sim_world.cpp
@@ -1,12 +1,14 @@
 #include "sim_world.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <optional>
 
 namespace lab {
 namespace {
 
-constexpr std::uint16_t agent_port = 2905, server_port = 2906, feed_port = 4222;
+constexpr std::uint16_t agent_port = 2905, server_port = 2906, talk_port = 2910, feed_port = 4222;
+constexpr double long_up_s = 1e6;  // of machines that have not lost power yet
 constexpr double tick_s = 0.1, agent_starts_after_s = 0.3;
 constexpr std::size_t many_descriptors = 4096;
 
@@ -14,16 +16,23 @@
 
 SimWorld::SimWorld(const WorldPlan& plan, Network::Delay delay)
     : plan_(plan), network_(plan.seed, delay), fleet_(plan_), ledger_(plan_) {
-    feed_host_ = &network_.add_host(many_descriptors);
-    feed_ = std::make_unique<Feed>(feed_host_->loop(), plan_);
-    feed_->listen(feed_host_->address(feed_port));
-    feed_host_->run([] { return true; });
+    // One feed for all, but where buildings are lost: there each has one of its own.
+    feeds_.resize(plan_.agents_recover ? static_cast<std::size_t>(plan_.zones) : 1);
+    for (FeedSlot& slot : feeds_) {
+        slot.host = &network_.add_host(many_descriptors);
+        slot.feed = std::make_unique<Feed>(slot.host->loop(), plan_);
+        slot.feed->listen(slot.host->address(feed_port));
+        slot.host->run([] { return true; });
+    }
+    ledger_.count_falls(plan_.cold.falls ? [this](int server) {
+        network_.at(now(), [this, server] { kill_server(server, plan_.cold.back_s); });
+    } : std::function<void(int)>());
     servers_.resize(static_cast<std::size_t>(plan_.servers));
     for (int server = 0; server < plan_.servers; ++server) {
         Host& host = network_.add_host(many_descriptors);
         servers_[static_cast<std::size_t>(server)].host = &host;
         start_server(server);
-        feed_->add({server, host.address(server_port), "up", 0});
+        for (FeedSlot& slot : feeds_) slot.feed->add({server, host.address(server_port), "up", 0});
     }
     agents_.resize(static_cast<std::size_t>(plan_.agents));
     crowds_.resize(static_cast<std::size_t>(plan_.agents));
@@ -47,7 +56,7 @@
     for (CrowdSlot& crowd : crowds_) crowd.viewers.reset();
     for (AgentSlot& slot : agents_) slot.agent.reset(), slot.between.reset();
     for (ServerSlot& slot : servers_) slot.server.reset();
-    feed_.reset();
+    for (FeedSlot& slot : feeds_) slot.feed.reset();
 }
 
 void SimWorld::tick() {
@@ -69,8 +78,9 @@
 
 void SimWorld::start_agent(int agent) {
     AgentSlot& slot = agents_[static_cast<std::size_t>(agent)];
+    const auto zone = static_cast<std::size_t>(agent % plan_.zones) % feeds_.size();
     nlohmann::json json = agent_config(plan_, agent, slot.host->address(agent_port),
-                                       feed_host_->address(feed_port), feed_->known());
+                                       feeds_[zone].host->address(feed_port), feeds_[zone].feed->known());
     auto config = jasperspread::agent::read_config(json.dump());
     config.seed += static_cast<std::uint64_t>(slot.starts++) * 1000003;
     if (corrupt_) corrupt_(config);
@@ -80,23 +90,51 @@
         if (!slot.disk) slot.disk = std::make_unique<SimDisk>(*slot.host);
         memory.emplace(jasperspread::agent::MemoryOrder{plan_.store, slot.disk.get(),
                                                         slot.disk->load(config.name), "one boot"});
+        memory->boot = "boot " + std::to_string(slot.boots);
     }
     slot.agent = std::make_unique<jasperspread::agent::Agent>(
         slot.host->loop(), log_, std::move(config), slot.between.get(), memory ? &*memory : nullptr);
     if (plan_.agents_hand_over) slot.agent->hand_over({plan_.handover, key_});
+    if (plan_.agents_recover) {
+        jasperspread::agent::RecoveryOrder order;
+        order.settings = plan_.recovery;
+        if (memory) order.boot = memory->boot;
+        if (memory) order.boot_before = slot.disk->boot_before();
+        order.machine_s = slot.boots == 0 ? long_up_s + now() : now() - slot.up_since;
+        order.asks_scope = memory.has_value() && slot.starts > 1;
+        slot.agent->recover(order);
+    }
+    if (plan_.agents_talk) {
+        jasperspread::agent::PeerOrder order{plan_.fleet, ticket_key()};
+        order.settings.listen = jasperspread::net::to_text(slot.host->address(talk_port));
+        order.settings.seeds = seeds_of_talk();
+        slot.agent->talk(order);
+    }
+    if (slot.disk) slot.disk->booted(memory->boot);
     slot.host->run([this, agent] {
         AgentSlot& own = agents_[static_cast<std::size_t>(agent)];
         if (!own.agent || !own.agent->over()) return true;
-        network_.at(now(), [this, agent] { agent_gone(agent, true); });
+        network_.at(now(), [this, agent] { agent_gone(agent, true, agent_starts_after_s); });
         return false;
     });
 }
 
 void SimWorld::kill_agent(int agent) {
-    agent_gone(agent, false);
+    agent_gone(agent, false, agent_starts_after_s);
+}
+
+std::vector<std::string> SimWorld::seeds_of_talk() const {
+    // Of each building some, so that those of one that is dark leave others to be asked.
+    constexpr std::size_t seeds_named = 6;
+    std::vector<std::string> seeds;
+    for (const AgentSlot& slot : agents_) {
+        if (slot.host != nullptr && seeds.size() < seeds_named)
+            seeds.push_back(jasperspread::net::to_text(slot.host->address(talk_port)));
+    }
+    return seeds;
 }
 
-void SimWorld::agent_gone(int agent, bool by_itself) {
+void SimWorld::agent_gone(int agent, bool by_itself, std::optional<double> back_after) {
     AgentSlot& slot = agents_[static_cast<std::size_t>(agent)];
     if (!slot.agent) return;
     slot.host->kill([&] { slot.agent.reset(); });
@@ -106,8 +144,11 @@
     // What it said last is on its way still.
     constexpr double last_words_s = 0.1;
     network_.at(now() + last_words_s, [this, agent, by_itself] { viewers(agent).agent_gone(by_itself); });
-    network_.at(now() + agent_starts_after_s, [this, agent] {
-        if (!agents_[static_cast<std::size_t>(agent)].agent) start_agent(agent);
+    if (!back_after) return;
+    // What was ordered before the last loss is void.
+    network_.at(now() + *back_after, [this, agent, which = ++slot.goings] {
+        const AgentSlot& own = agents_[static_cast<std::size_t>(agent)];
+        if (own.goings == which && !own.agent) start_agent(agent);
     });
 }
 
@@ -138,6 +179,7 @@
     if (!slot.server) return;
     slot.server->die();
     slot.host->kill([&] { slot.server.reset(); });
+    ledger_.server_down(server);
     if (!starts_again_after) return;
     network_.at(now() + *starts_again_after, [this, server] { start_server_again(server); });
 }
@@ -145,8 +187,53 @@
 void SimWorld::start_server_again(int server) {
     start_server(server);
     ledger_.starts_cold(server, now());
-    feed_->change(server, "up", now());
-    feed_host_->wake();
+    feeds_tell(server, "up", now());
+}
+
+void SimWorld::feeds_tell(int server, const std::string& phase, double up_since) {
+    for (FeedSlot& slot : feeds_) {
+        slot.feed->change(server, phase, up_since);
+        slot.host->wake();
+    }
+}
+
+void SimWorld::power_fails(const PowerLoss& loss) {
+    std::mt19937_64 random(loss.seed);
+    const auto uniform = [&] { return static_cast<double>(random() >> 11) * 0x1p-53; };
+    const auto dark = [&](int zone) { return !loss.building || *loss.building == zone; };
+    for (int server = 0; server < plan_.servers; ++server) {
+        const double back = loss.outage_s + loss.servers_s * uniform();
+        if (dark(plan_.zone_of(server))) kill_server(server, back);
+    }
+    for (std::size_t zone = 0; zone < feeds_.size(); ++zone) {
+        const double back = loss.outage_s + loss.feeds_s * uniform();
+        if (!dark(static_cast<int>(zone))) continue;
+        feeds_[zone].feed->loses_power();
+        feeds_[zone].host->wake();
+        network_.at(now() + back, [this, zone] {
+            feeds_[zone].feed->comes_back(feeds_[zone].host->address(feed_port));
+            feeds_[zone].host->wake();
+        });
+    }
+    for (int agent = 0; agent < plan_.agents; ++agent) {
+        const double back = loss.outage_s + loss.agents_s * uniform();
+        const bool never = uniform() < loss.never_part;
+        if (!dark(agent % plan_.zones)) continue;
+        AgentSlot& slot = agents_[static_cast<std::size_t>(agent)];
+        ++slot.boots;
+        slot.up_since = now() + loss.outage_s;
+        agent_gone(agent, false, never ? std::nullopt : std::optional(back));
+    }
+}
+
+void SimWorld::split_agents(const std::vector<int>& part, bool is_split) {
+    for (const int inside : part) {
+        for (int other = 0; other < plan_.agents; ++other) {
+            if (std::find(part.begin(), part.end(), other) == part.end())
+                network_.cut(*agents_[static_cast<std::size_t>(inside)].host,
+                             *agents_[static_cast<std::size_t>(other)].host, is_split);
+        }
+    }
 }
 
 void SimWorld::freeze_server(int server, bool frozen) {
@@ -162,14 +249,12 @@
 }
 
 void SimWorld::drain_server(int server) {
-    feed_->change(server, "draining");
-    feed_host_->wake();
+    feeds_tell(server, "draining", 0);
     ledger_.drained(server, now());
 }
 
 void SimWorld::list_server(int server) {
-    feed_->change(server, "up");
-    feed_host_->wake();
+    feeds_tell(server, "up", 0);
     ledger_.listed(server);
 }
 
--- a/lab/sim/sim_world.h
+++ b/lab/sim/sim_world.h
@@ -36,6 +36,10 @@
     void drain_server(int server) override;
     void list_server(int server) override;
     void cut(int agent, int server, bool is_cut) override;
+    void power_fails(const PowerLoss& loss) override;
+    // Of datagrams between agents.
+    void set_lossy(const Lossy& lossy) { network_.set_lossy(lossy); }
+    void split_agents(const std::vector<int>& part, bool is_split);  // from all other agents
     void squeeze(int server, double gives) override { fleet_.squeeze(server, gives); }
 
     const WorldPlan& plan() const override { return plan_; }
@@ -74,7 +78,8 @@
         std::unique_ptr<jasperspread::agent::Between> between;
         std::unique_ptr<jasperspread::agent::Agent> agent;
         std::unique_ptr<SimDisk> disk;  // where it remembers; outlives its lives
-        int starts = 0;
+        int starts = 0, boots = 0, goings = 0;
+        double up_since = 0;  // of its machine
     };
     struct ServerSlot {
         Host* host = nullptr;
@@ -86,7 +91,9 @@
     };
     void start_agent(int agent);
     void start_server(int server);
-    void agent_gone(int agent, bool by_itself);
+    // Back after so long, or never.
+    void agent_gone(int agent, bool by_itself, std::optional<double> back_after);
+    std::vector<std::string> seeds_of_talk() const;
     Viewers* somebody_else(int agent);
     void tick();
 
@@ -98,8 +105,14 @@
     std::function<void(jasperspread::agent::Config&)> corrupt_;
     std::function<std::unique_ptr<jasperspread::agent::Between>()> broken_;
     std::string key_ = ticket_key();
-    Host* feed_host_ = nullptr;
-    std::unique_ptr<Feed> feed_;
+    // One feed for each building, so that one can be lost.
+    struct FeedSlot {
+        Host* host = nullptr;
+        std::unique_ptr<Feed> feed;
+    };
+    Feed& feed(int zone) { return *feeds_[static_cast<std::size_t>(zone)].feed; }
+    void feeds_tell(int server, const std::string& phase, double up_since);
+    std::vector<FeedSlot> feeds_;
     std::vector<ServerSlot> servers_;
     std::vector<AgentSlot> agents_;
     std::vector<CrowdSlot> crowds_;
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -80,6 +80,7 @@
 }
 
 void Agent::listed(ListChange change) {
+    told_ = true;
     between_.heard(change);
     const auto list = config_.directory.apply(change);
     sessions_.listed(list);
@@ -99,6 +100,23 @@
         return held;
     });
     if (keeper_) keeper_->talk(*peers_);
+    if (comeback_) comeback_->talk(*peers_);
+}
+
+void Agent::recover(const RecoveryOrder& order) {
+    Comeback::Sees sees;
+    sees.list_known = [this] { return told_ && !(keeper_ && keeper_->list_is_behind()); };
+    sees.revision = [this] { return config_.directory.revision(); };
+    sees.flow = [this](bool paid) { return sessions_.flow(paid); };
+    sees.running = [this] { return servers_.running(); };
+    Comeback::Tells tells;
+    tells.runs = [this](const cinderfront::Runs& runs) { sessions_.learn(runs); };
+    tells.scope = [this](recovery::Scope scope) {
+        if (keeper_) keeper_->scope_is(scope);
+    };
+    tells.allow = [this](const cinderfront::Allowance& allowance) { sessions_.allow(allowance); };
+    comeback_ = std::make_unique<Comeback>(loop_, log_, order, config_.profile, loop_.kernel().random(),
+                                           std::move(sees), std::move(tells));
 }
 
 void Agent::ask_to_end() {
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "agent/between.h"
+#include "agent/comeback.h"
 #include "agent/config.h"
 #include "agent/feed_client.h"
 #include "agent/keeper.h"
@@ -33,6 +34,9 @@
     // Talks with other agents from here on, or under another key (docs/operate/fleet.md). Throws as Peers
     // does.
     void talk(const PeerOrder& order);
+    // Comes back by stages, and tells other agents of itself (docs/operate/power-loss.md). Before it talks.
+    void recover(const RecoveryOrder& order);
+    const Comeback* comeback() const { return comeback_.get(); }
     const Peers* peers() const { return peers_.get(); }
     const Keeper* keeper() const { return keeper_.get(); }
     void ask_to_end();  // SIGTERM: goes on taking and answering for a while
@@ -59,7 +63,9 @@
     ServerLinks servers_;
     ViewerSide viewers_;
     FeedClient feed_;
-    std::unique_ptr<Peers> peers_;  // where agents talk
+    std::unique_ptr<Peers> peers_;        // where agents talk
+    std::unique_ptr<Comeback> comeback_;  // where it comes back by stages, or others ask
+    bool told_ = false;                   // by the feed, in this life
     net::Timer wake_;
     double term_at_ = 0, words_until_ = 0, stay_most_ = 0;
 };
--- /dev/null
+++ b/src/agent/comeback.cpp
@@ -0,0 +1,168 @@
+#include "comeback.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jasperspread::agent {
+
+using recovery::Stage;
+
+namespace {
+
+constexpr double look_every_s = 0.25;
+// So many others are asked at a look, those that have not told first: 300 agents that come back together
+// send each other some 5,000 datagrams a second for as long as that lasts.
+constexpr std::size_t hailed_at_once = 4;
+// What another one told of itself is old after so long, s.
+constexpr double heard_lives_s = 2.0;
+
+bool same_boot(const RecoveryOrder& order) {
+    return !order.boot.empty() && order.boot == order.boot_before;
+}
+
+std::string zone_of(const Profile& profile) {
+    const auto zone = profile.settings.zone;
+    return zone && *zone < profile.zone_names.size() ? profile.zone_names[*zone] : "";
+}
+
+recovery::ScopeSettings scope_settings(const recovery::Settings& set) {
+    return {set.spread_s, set.ask_s, set.answers_enough};
+}
+
+std::size_t others_there_are(const Profile& profile) {
+    return std::max<std::size_t>(profile.settings.fronts, 1) - 1;
+}
+
+// A machine that has been up for longer than machines come back in did not lose power just now.
+bool is_young(const RecoveryOrder& order) {
+    return !same_boot(order) && order.machine_s <= 2 * order.settings.spread_s;
+}
+
+}  // namespace
+
+Comeback::Comeback(net::Loop& loop, Log& log, const RecoveryOrder& order, const Profile& profile,
+                   std::uint64_t seed, Sees sees, Tells tells)
+    : loop_(loop),
+      log_(log),
+      profile_(profile),
+      set_(order.settings),
+      began_(loop.now()),
+      machine_s_(order.machine_s),
+      sees_(std::move(sees)),
+      tells_(std::move(tells)),
+      scope_(scope_settings(order.settings), zone_of(profile), order.boot, order.boot_before, order.machine_s,
+             others_there_are(profile), loop.now()),
+      stages_(order.settings, recovery::order_named(order.settings.order).value_or(recovery::Order::Off),
+              is_young(order), loop.now()),
+      paid_(loop.now()),
+      rest_(loop.now()),
+      settled_(!order.asks_scope && stages_.stage() == Stage::Ordinary),
+      zone_(zone_of(profile)),
+      random_(seed),
+      learns_until_(loop.now() + profile.settings.cold),
+      timer_(loop) {
+    turn();
+}
+
+void Comeback::talk(Peers& peers) {
+    peers_ = &peers;
+    peers.tell_status([this] { return status(); });
+    peers.hear_status([this](const fleet::Name& by, const fleet::Status& told) { heard(by, told); });
+}
+
+// Also between looks, so that one in ordinary service tells of now.
+void Comeback::look() {
+    const auto paid = sees_.flow(true), rest = sees_.flow(false);
+    paid_.told(paid.asked, paid.turned, loop_.now());
+    rest_.told(rest.asked, rest.turned, loop_.now());
+}
+
+fleet::Status Comeback::status() {
+    look();
+    fleet::Status own;
+    own.zone = zone_.substr(0, fleet::zone_most);
+    own.agent_s = loop_.now() - began_;
+    own.machine_s = machine_s_ + own.agent_s;
+    own.revision = sees_.revision();
+    own.stage = static_cast<std::uint64_t>(stages_.stage());
+    own.pressed = stages_.stage() < Stage::Paid || paid_.pressed();
+    // Where there are more than a message holds, in turn.
+    const auto running = sees_.running();
+    for (std::size_t i = 0; i < std::min(running.size(), fleet::runs_most); ++i) {
+        const auto& [server, since] = running[(told_runs_ + i) % running.size()];
+        own.runs.emplace_back(server, loop_.now() - since);
+    }
+    told_runs_ += own.runs.size();
+    return own;
+}
+
+void Comeback::heard(const fleet::Name& by, const fleet::Status& told) {
+    if (loop_.now() < learns_until_) {
+        for (const auto& [server, seconds] : told.runs) tells_.runs({server, loop_.now() - seconds});
+    }
+    if (!settled_) scope_.told(by, {told.zone, told.machine_s}, loop_.now());
+    if (stages_.stage() == Stage::Ordinary && settled_) return;  // nothing is kept of them then
+    others_[by] = {told, loop_.now()};
+}
+
+double Comeback::others_pressed() const {
+    double heard = 0, pressed = 0;
+    for (const auto& [name, other] : others_) {
+        if (loop_.now() > other.heard + heard_lives_s) continue;
+        heard += 1;
+        pressed += other.status.pressed ? 1 : 0;
+    }
+    return heard > 0 ? pressed / heard : 0;
+}
+
+void Comeback::hail() {
+    if (peers_ == nullptr) return;
+    std::vector<fleet::Name> there;
+    for (const auto& [name, member] : peers_->membership().members()) {
+        if (member.word.health <= fleet::Health::Suspect) there.push_back(name);
+    }
+    std::shuffle(there.begin(), there.end(), random_);
+    std::stable_partition(there.begin(), there.end(),
+                          [this](const fleet::Name& name) { return !others_.contains(name); });
+    there.resize(std::min(there.size(), hailed_at_once));
+    for (const fleet::Name& name : there) peers_->hail(name);
+}
+
+void Comeback::turn() {
+    const double now = loop_.now();
+    look();
+    if (!settled_ && scope_.settled(now)) {
+        settled_ = true;
+        log_.info("scope", {{"is", std::string(name_of(scope_.scope()))},
+                            {"answers", std::to_string(scope_.answers())}});
+        tells_.scope(scope_.scope());
+    }
+    recovery::Seen seen;
+    if (settled_) seen.scope = scope_.scope();
+    seen.list_known = sees_.list_known();
+    seen.server_answers = sees_.flow(true).answered + sees_.flow(false).answered > 0;
+    seen.pressed = paid_.pressed();
+    seen.others_pressed = others_pressed();
+    seen.rest_asked = rest_.asked_per_s();
+    const Stage before = stages_.stage();
+    stages_.step(seen, now);
+    if (stages_.stage() != before) log_.info("stage", {{"is", std::string(name_of(stages_.stage()))}});
+    const bool ordinary = stages_.stage() == Stage::Ordinary;
+    if (const recovery::Let let = stages_.let(); let != let_ || stays_away_ == ordinary) {
+        let_ = let;
+        stays_away_ = !ordinary;
+        cinderfront::Allowance allowance;
+        for (const auto& cls : profile_.settings.classes) {
+            const bool paid = cls.semantics == cinderfront::Semantics::NonIdempotent;
+            if (!ordinary) allowance.per_s.push_back(paid ? let.paid : let.rest);
+        }
+        allowance.stay_away = ordinary ? 0 : set_.stay_away_s;
+        tells_.allow(allowance);
+    }
+    if (ordinary && settled_) others_.clear();
+    if (ordinary && settled_ && now >= learns_until_) return timer_.cancel();
+    hail();
+    timer_.set(now + look_every_s, [this] { turn(); });
+}
+
+}  // namespace jasperspread::agent
--- a/src/agent/keeper.cpp
+++ b/src/agent/keeper.cpp
@@ -21,7 +21,7 @@
       serves_without_(order.settings.without == "serve"),
       life_(order.found.before.lives + 1),
       memory_(loop, log, order, [this](SessionId id, bool is) { kept(id, is); }),
-      returner_(loop, log, order, directory, memory_),
+      returner_(loop, log, order, profile.settings.zone, directory, memory_),
       list_({order.found.list.revision, {order.found.list.up.begin(), order.found.list.up.end()}},
             trust({recovery::Thing::List, loop.now() - order.found.list.at}, recovery::Scope::All),
             order.settings.stale_s, loop.now()) {}
--- a/src/agent/keeper.h
+++ b/src/agent/keeper.h
@@ -28,6 +28,9 @@
     void talk(Peers& peers) { returner_.talk(peers); }
     // A session that its viewer says plays at this server.
     void claimed(SessionId id, ServerNumber server) { returner_.claimed(id, server); }
+    // Who else lost power is known from here on.
+    void scope_is(recovery::Scope scope) { returner_.scope_is(scope); }
+    bool list_is_behind() const { return list_.behind(loop_.now()); }
     const Memory& memory() const { return memory_; }
     const Returner& returner() const { return returner_; }
 
--- a/src/agent/peers.cpp
+++ b/src/agent/peers.cpp
@@ -115,9 +115,25 @@
         say({opened.at, answer});
     } else if (message->kind == Kind::Answer && told_) {
         told_(opened.from, message->number, message->sessions);
+    } else if (message->status) {
+        if (heard_) heard_(opened.from, *message->status);
+        if (message->kind != Kind::Hail || !status_) return;
+        Message answer;
+        answer.kind = Kind::Status;
+        answer.status = status_();
+        say({opened.at, answer});
     }
 }
 
+void Peers::hail(const fleet::Name& whom) {
+    const auto member = membership_.members().find(whom);
+    if (member == membership_.members().end() || !status_) return;
+    Message hail;
+    hail.kind = Kind::Hail;
+    hail.status = status_();
+    say({member->second.word.address, hail});
+}
+
 void Peers::ask(const fleet::Name& whom, std::uint64_t number, const Sessions& sessions) {
     const auto member = membership_.members().find(whom);
     if (member == membership_.members().end()) return;
--- a/src/agent/peers.h
+++ b/src/agent/peers.h
@@ -36,6 +36,12 @@
     using Told = std::function<void(const fleet::Name& by, std::uint64_t number, const Sessions& held)>;
     void hear_answers(Told told) { told_ = std::move(told); }
     void ask(const fleet::Name& whom, std::uint64_t number, const Sessions& sessions);
+    // How we are, told to whoever hails us; and what others tell of themselves, in a Hail or in answer to
+    // ours.
+    using Heard = std::function<void(const fleet::Name& by, const fleet::Status& status)>;
+    void tell_status(std::function<fleet::Status()> status) { status_ = std::move(status); }
+    void hear_status(Heard heard) { heard_ = std::move(heard); }
+    void hail(const fleet::Name& whom);
     const fleet::Membership& membership() const { return membership_; }
     const fleet::Seal& seal() const { return seal_; }
     struct Counts {
@@ -64,6 +70,8 @@
     std::map<fleet::Address, Peer> peers_;
     std::function<Sessions(const Sessions&)> holds_;
     Told told_;
+    std::function<fleet::Status()> status_;
+    Heard heard_;
     net::Timer timer_;
     Counts counts_;
 };
--- a/src/agent/returner.cpp
+++ b/src/agent/returner.cpp
@@ -17,31 +17,53 @@
 
 }  // namespace
 
-Returner::Returner(net::Loop& loop, Log& log, const MemoryOrder& order, const ServerDirectory& directory,
-                   Memory& memory)
+Returner::Returner(net::Loop& loop, Log& log, const MemoryOrder& order, std::optional<std::uint32_t> zone,
+                   const ServerDirectory& directory, Memory& memory)
     : loop_(loop),
       log_(log),
+      zone_(zone),
       directory_(directory),
       memory_(memory),
       returning_(return_settings(order), loop.now()),
       timer_(loop) {
-    // Nobody has told yet who else lost power: what another boot has left is taken for the worst.
-    const auto scope =
-        recovery::ScopeFinder({}, "", order.boot, order.found.before.boot, 0, 0, loop.now()).scope();
+    // Until it is known who else lost power, all that may still be is taken for a hint.
     for (const store::SessionRecord& record : order.found.sessions) {
-        const bool intent = record.phase == store::Phase::Intent;
-        const recovery::Memory memory_of{intent ? recovery::Thing::PaidSetUp : recovery::Thing::Session,
-                                         loop.now() - record.at, true, longest_session_s};
-        stays_[record.id] = {record.server, record.at, std::nullopt};
-        returning_.remember(record.id, intent, trust(memory_of, scope));
+        const Stay& stay = stays_[record.id] = {record.server, record.at,
+                                                record.phase == store::Phase::Intent, std::nullopt};
+        returning_.remember(record.id, stay.intent, trust_of(stay, recovery::Scope::Process));
     }
     remembered_ = stays_.size();
     if (order.found.set_aside) log_.warn("store_damaged_set_aside");
     if (order.found.damaged > 0)
         log_.warn("store_records_damaged", {{"count", std::to_string(order.found.damaged)}});
     log_.info("store_read", {{"life", std::to_string(order.found.before.lives + 1)},
-                             {"sessions", std::to_string(remembered_)},
-                             {"scope", std::string(name_of(scope))}});
+                             {"sessions", std::to_string(remembered_)}});
+}
+
+recovery::Trust Returner::trust_of(const Stay& stay, recovery::Scope scope) const {
+    using recovery::Thing;
+    const auto number = directory_.number_of(stay.server);
+    const KnownServer* server = number ? directory_.find(*number) : nullptr;
+    const bool here = server == nullptr || !zone_ || server->entry.zone == *zone_;
+    return trust(
+        {stay.intent ? Thing::PaidSetUp : Thing::Session, loop_.now() - stay.at, here, longest_session_s},
+        scope);
+}
+
+// What stood at a server that lost its power with us is over, unless the list tells that the server has run
+// since before: nobody may have been there to say that it kept its power.
+void Returner::scope_is(recovery::Scope scope) {
+    std::vector<SessionId> lost;
+    for (const auto& [id, stay] : stays_) {
+        if (!returning_.holds(id) || trust_of(stay, scope) != recovery::Trust::Void) continue;
+        const auto number = directory_.number_of(stay.server);
+        const KnownServer* server = number ? directory_.find(*number) : nullptr;
+        const auto start = server != nullptr ? server->entry.last_start : std::nullopt;
+        const bool ran = scope != recovery::Scope::Process && start && *start <= stay.at;
+        if (!ran) lost.push_back(id);
+    }
+    for (const SessionId id : lost) returning_.lost_power(id);
+    if (servers_ != nullptr) turn();
 }
 
 void Returner::connect(ServerPort& servers) {
--- a/src/agent/returner.h
+++ b/src/agent/returner.h
@@ -16,12 +16,15 @@
 
 class Returner {
 public:
-    Returner(net::Loop& loop, Log& log, const MemoryOrder& order, const ServerDirectory& directory,
-             Memory& memory);
+    // `zone`: where this agent stands.
+    Returner(net::Loop& loop, Log& log, const MemoryOrder& order, std::optional<std::uint32_t> zone,
+             const ServerDirectory& directory, Memory& memory);
     void connect(ServerPort& servers);
     void listed();
     void talk(Peers& peers);
 
+    void scope_is(recovery::Scope scope);
+
     bool holds(SessionId id) const { return returning_.holds(id); }
     void claimed(SessionId id, ServerNumber server);
     void plays(SessionId id) { returning_.plays(id); }
@@ -33,14 +36,17 @@
     struct Stay {
         std::string server;  // its id in the list
         double at = 0;       // when that was written
+        bool intent = false;
         std::optional<ServerNumber> number;
     };
+    recovery::Trust trust_of(const Stay& stay, recovery::Scope scope) const;
     std::vector<std::string> others() const;  // that can be asked
     void turn();
     void wait();
 
     net::Loop& loop_;
     Log& log_;
+    const std::optional<std::uint32_t> zone_;
     const ServerDirectory& directory_;
     Memory& memory_;
     recovery::Returning returning_;
--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -339,6 +339,21 @@
     return false;
 }
 
+std::vector<std::pair<ServerNumber, double>> ServerLinks::running() const {
+    constexpr double notes_missed = 2;
+    const double lately = loop_.now() - notes_missed * limits_.note_every - limits_.note_late;
+    std::vector<std::pair<ServerNumber, double>> list;
+    for (const auto& [number, at] : servers_) {
+        double since = loop_.now();
+        for (const SessionId id : at.standing) {
+            const Entry& entry = entries_.at(id);
+            if (entry.noted >= lately) since = std::min(since, entry.since);
+        }
+        if (since < loop_.now()) list.emplace_back(number, since);
+    }
+    return list;
+}
+
 // ---- Set-ups ----
 
 void ServerLinks::set_up(const Attempt& attempt) {
@@ -480,6 +495,7 @@
             const std::string* value = message.field("value");
             const auto number = value == nullptr ? std::nullopt : codec::parse_number(*value);
             if (entry == nullptr || note == nullptr || !number) break;
+            entry->noted = loop_.now();
             for (const auto& [name, kind] : kinds) {
                 if (name == *note) events_.noted(id, kind, *number);
             }
--- a/src/agent/server_links.h
+++ b/src/agent/server_links.h
@@ -37,6 +37,9 @@
     // Whether anything is there still: a session, a set-up, a connection or a word that waits. What is known
     // of a server where nothing is goes.
     bool holds(ServerNumber number);
+    // Servers that have spoken lately of a session that has stood there since then: they have not started
+    // since.
+    std::vector<std::pair<ServerNumber, double>> running() const;
 
     void set_up(const Attempt& attempt) override;
     GivenUp give_up(SessionId id) override;
@@ -58,8 +61,8 @@
     struct Entry {
         Attempt attempt;
         State state = State::Queued;
-        Link* link = nullptr;  // that it was written on, or waits for; null: any
-        double since = 0;
+        Link* link = nullptr;          // that it was written on, or waits for; null: any
+        double since = 0, noted = 0;   // it stands since, and its server last spoke of it
         std::uint64_t epoch = 0;       // of its last hand-over, whatever came of it; 0: none
         std::uint64_t home_epoch = 0;  // of the one that brought it to where it stands
     };
--- a/src/agent/session_table.cpp
+++ b/src/agent/session_table.cpp
@@ -66,6 +66,13 @@
     if (phase != Phase::Asked) drop_deadline(session.net);
 }
 
+SessionTable::Flow& SessionTable::flow_of(const Session& session) {
+    const auto cls = session.asked.request.cls;
+    const bool paid = cls < settings_.classes.size() &&
+                      settings_.classes[cls].semantics == cinderfront::Semantics::NonIdempotent;
+    return flows_[paid ? 1 : 0];
+}
+
 void SessionTable::drop_deadline(net::Deadlines::Key& key) {
     if (key.second != 0) loop_.deadlines().cancel(key);
     key = {0, 0};
@@ -93,6 +100,7 @@
     Session& session = sessions_[id];
     session.asked = set_up;
     ++unanswered_;
+    ++flow_of(session).asked;
     session.net =
         loop_.deadlines().add(set_up.request.not_after - net_margin_s, [this, id] { answer_in_time(id); });
     tell(cinderfront::NewRequest{set_up.request});
@@ -158,6 +166,7 @@
     }
     drop_deadline(session->cap);
     set_phase(*session, Phase::Standing);
+    ++flow_of(*session).answered;
     viewers_->answered(id, description);
     tell(cinderfront::Started{id, session->server, session->attempts - 1, loop_.now() - session->sent_at});
 }
@@ -334,6 +343,7 @@
     Session* session = find(action.id);
     if (session == nullptr || session->phase != Phase::Asked) return;
     set_phase(*session, Phase::Answered);
+    ++flow_of(*session).turned;
     viewers_->refused(action.id, settings_.can_advise_retry ? action.retry_after : 0);
     drop_if_done(action.id);
 }
--- a/src/agent/session_table.h
+++ b/src/agent/session_table.h
@@ -5,6 +5,7 @@
 
 #include <cinderfront/controller.h>
 
+#include <array>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -52,6 +53,13 @@
     bool holds(SessionId id) const;  // asked for or standing here
     std::size_t unanswered() const { return unanswered_; }
     std::size_t standing() const { return standing_; }
+    // What may be let in from here on (src/recovery).
+    void allow(const cinderfront::Allowance& allowance) { tell(allowance); }
+    void learn(const cinderfront::Runs& runs) { tell(runs); }
+    struct Flow {  // since the start
+        std::uint64_t asked = 0, answered = 0, turned = 0;
+    };
+    const Flow& flow(bool paid) const { return flows_[paid ? 1 : 0]; }
 
 private:
     enum class Phase { Asked, Standing, Answered };  // Answered: over for the viewer, an attempt's end is due
@@ -96,6 +104,7 @@
     void withdraw(SessionId id, Session& session, cinderfront::Ending how);
     void answer_in_time(SessionId id);
     void drop_if_done(SessionId id);
+    Flow& flow_of(const Session& session);
     void drop_deadline(net::Deadlines::Key& key);
 
     net::Loop& loop_;
@@ -107,6 +116,7 @@
     ServerPort* servers_ = nullptr;
     std::unordered_map<SessionId, Session> sessions_;
     std::size_t unanswered_ = 0, standing_ = 0;
+    std::array<Flow, 2> flows_;  // of other classes, of paid ones
     std::deque<cinderfront::Event> events_;
     bool telling_ = false;
     std::unique_ptr<Mover> mover_;  // where sessions are handed over
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -476,6 +476,8 @@
         case Kind::Challenge:
         case Kind::Question:  // not the membership's
         case Kind::Answer:
+        case Kind::Hail:
+        case Kind::Status:
             break;
     }
     return out;
--- a/src/fleet/message.h
+++ b/src/fleet/message.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "fleet/life.h"
@@ -21,6 +22,22 @@
     Challenge,  // of a message that did not know the receiver's token: the seal's header tells it
     Question,   // of an agent that has returned: which of these sessions do you hold?
     Answer,     // of a Question, by its number: these
+    Hail,       // this is how I am: how are you?
+    Status,     // of a Hail: so
+};
+
+// How an agent is, told in ages, as clocks may have stepped. Of Hail and Status.
+struct Status {
+    std::string zone;            // where it stands
+    double machine_s = 0;        // its machine has been up for so long
+    double agent_s = 0;          // and its process
+    std::uint64_t revision = 0;  // of the list that it goes by
+    std::uint64_t stage = 0;     // of its own return (recovery::Stage)
+    bool pressed = false;        // it turns away those who come first
+    // Servers, by the numbers that all agents give them, at which a session has played for so many s and
+    // does.
+    std::vector<std::pair<std::uint32_t, double>> runs;
+    bool operator==(const Status&) const = default;
 };
 
 struct Message {
@@ -29,13 +46,15 @@
     Word target;                          // PingFor: whom, by name and address
     std::vector<Word> words;              // news
     std::vector<std::uint64_t> sessions;  // of Question and Answer
+    std::optional<Status> status;         // of Hail and Status
     bool operator==(const Message&) const = default;
 };
 
 constexpr std::size_t datagram_most = 1200;  // bytes, sealed
 constexpr std::size_t words_most = 12;       // in one message: they fit a datagram with names of 32 bytes
 constexpr std::size_t sessions_most = 100;   // in one message
-constexpr std::size_t name_most = 32, address_most = 21;
+constexpr std::size_t name_most = 32, address_most = 21, zone_most = 32;
+constexpr std::size_t runs_most = 60;  // in one message
 
 std::string encode(const Message& message);
 // nullopt for anything that is not a message of this version, whole and within the bounds above.
--- a/src/ops/operator_file.cpp
+++ b/src/ops/operator_file.cpp
@@ -141,6 +141,8 @@
     const auto peers = &OperatorSettings::fleet;
     using S = store::Settings;
     const auto kept = &OperatorSettings::store;
+    using R = recovery::Settings;
+    const auto back = &OperatorSettings::recovery;
     return {
         flag("log", log, "json", &LogSettings::json, "each line of the log is one JSON object"),
         text("log", log, "level", &LogSettings::level, {"debug", "info", "warn", "err"},
@@ -208,6 +210,32 @@
                "a control feed that is behind the remembered list is believed after so long"),
         number("store", kept, "claim_s", &S::claim_s, 0.5, 600, "s",
                "after a return: what no viewer names within so long is released"),
+        text("recovery", back, "order", &R::order, {"off", "delay", "strict", "alone", "fleet"},
+             "in which service returns after a power loss (docs/design/recovery.md)"),
+        text("recovery", back, "uptime_file", &R::uptime_file, {},
+             "file that tells how long the machine has been up, s, as its first word"),
+        number("recovery", back, "spread_s", &R::spread_s, 1, 3600, "s",
+               "machines that lost power at one instant are up again within so long of each other"),
+        number("recovery", back, "ask_s", &R::ask_s, 0.1, 60, "s",
+               "others are asked who lost power for so long at most"),
+        number("recovery", back, "answers_enough", &R::answers_enough, 1, 1000, "answers",
+               "that are waited for, or those of half of all agents"),
+        number("recovery", back, "list_s", &R::list_s, 0, 600, "s",
+               "a list that is not behind is waited for so long at most"),
+        number("recovery", back, "probe_s", &R::probe_s, 0, 60, "s",
+               "and a first answer of a server so long"),
+        number("recovery", back, "paid_s", &R::paid_s, 0, 600, "s",
+               "paid classes come alone for so long at most"),
+        number("recovery", back, "rest_s", &R::rest_s, 0, 600, "s",
+               "and all others are held to a rate for so long at most"),
+        number("recovery", back, "rest_from", &R::rest_from, 0.1, 1000, "set-ups",
+               "of which so many a second are let in at first, by each agent"),
+        number("recovery", back, "calm_s", &R::calm_s, 0, 600, "s",
+               "and to none, with the orders alone and fleet, once all has been well for so long"),
+        number("recovery", back, "delay_s", &R::delay_s, 0, 600, "s",
+               "with the order delay: nobody is let in for so long"),
+        number("recovery", back, "stay_away_s", &R::stay_away_s, 0, 60, "s",
+               "those turned away meanwhile are told to stay away so long, up to twice that"),
     };
 }
 
--- a/src/ops/operator_file.h
+++ b/src/ops/operator_file.h
@@ -9,6 +9,7 @@
 
 #include "fleet/settings.h"
 #include "handover/settings.h"
+#include "recovery/settings.h"
 #include "store/settings.h"
 
 namespace jasperspread::ops {
@@ -23,6 +24,7 @@
     handover::Settings handover;
     fleet::Settings fleet;
     store::Settings store;
+    recovery::Settings recovery;
 };
 
 // One line: the file, the line in it, the key, and what was expected.
--- a/src/ops/program.cpp
+++ b/src/ops/program.cpp
@@ -59,6 +59,29 @@
     return agent::PeerOrder{settings.fleet, key_of(settings.fleet.key_file, "fleet.key_file")};
 }
 
+// How long the machine has been up, s. A file that can't be read, or says nothing, is as good as a machine
+// that has been up for ever: then nobody takes this for a return from a power loss.
+double uptime_of(const std::string& path) {
+    std::ifstream file(path);
+    double seconds = 0;
+    if (!(file >> seconds) || !(seconds >= 0)) return 1e9;
+    return seconds;
+}
+
+// How it comes back, where that is ordered or others may ask; nullopt where nobody cares.
+std::optional<agent::RecoveryOrder> recovery_order(const OperatorSettings& settings,
+                                                   const agent::MemoryOrder* memory) {
+    const bool remembers = memory != nullptr, staged = settings.recovery.order != "off";
+    if (!remembers && !staged && settings.fleet.key_file.empty()) return std::nullopt;
+    agent::RecoveryOrder order;
+    order.settings = settings.recovery;
+    if (remembers) order.boot = memory->boot;
+    if (remembers) order.boot_before = memory->found.before.boot;
+    order.machine_s = uptime_of(settings.recovery.uptime_file);
+    order.asks_scope = remembers && memory->found.before.lives > 0;
+    return order;
+}
+
 OperatorSettings ordered(const Command& command) {
     return command.operator_file.empty() ? OperatorSettings{} : load_operator(command.operator_file);
 }
@@ -96,6 +119,7 @@
     Signals signals(loop, [&](int signal) { told(signal); });
     agent::Agent agent(loop, log, std::move(config), between, memory ? &*memory : nullptr);
     if (order) agent.hand_over(*order);
+    if (const auto back = recovery_order(settings, memory ? &*memory : nullptr)) agent.recover(*back);
     if (peers) agent.talk(*peers);
     told = [&](int signal) {
         if (signal != SIGHUP) return agent.ask_to_end();
--- a/src/policy/brain.h
+++ b/src/policy/brain.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <random>
 #include <tuple>
+#include <utility>
 #include "policy/state.h"
 
 namespace cinderfront {
@@ -375,6 +376,22 @@
         return top < cls(s).floor ? -1 : top;
     }
 
+    // Threat: all viewers come at once to servers that have just come up, and replays take what paid lessons
+    // need. Observed condition: an allowance, from whoever knows that power was lost. May hurt by its length.
+    bool let_in(std::uint32_t cls_index) {
+        if (cls_index >= allowance.per_s.size()) return true;
+        auto& [left, at] = let[cls_index];
+        const double per_s = allowance.per_s[cls_index];
+        left = std::min(std::max(1.0, per_s * let_burst_s), left + per_s * (now - std::exchange(at, now)));
+        return left >= 1 ? (left -= 1, true) : false;
+    }
+    double stay_away() {
+        if (!(allowance.stay_away > 0)) return 0;
+        return std::min(set.max_retry_after, allowance.stay_away * (1 + uniform()));
+    }
+    Allowance allowance;
+    std::vector<std::pair<double, double>> let;  // by class: set-ups that may begin, and as of when
+
     // Rule 6, and the limit of tries.
     bool may_try_again(const Session& s) {
         if (s.sends == 0) return true;
@@ -625,7 +642,7 @@
         const bool fails = s.out || !may_refuse(s);
         if (s.out && set.can_cancel) act(Cancel{s.req.id, s.sends - 1});
         if (fails) act(Fail{s.req.id});
-        if (!fails) act(Refuse{s.req.id, 0});
+        if (!fails) act(Refuse{s.req.id, stay_away()});
         s.open = false;
         drop_if_done(s.req.id);
     }
@@ -727,7 +744,7 @@
         Session& s = take(req);
         s.req.not_after = finite_or(req.not_after, now + finite_or(cls(s).deadline, 0));
         if (req.hint && !std::isfinite(*req.hint)) s.req.hint.reset();
-        place(s);
+        let_in(req.cls) ? place(s) : end(s);
         if (find(req.id) == nullptr) return;
         const double at = std::max(now, s.req.not_after - end_margin());
         timers[next_token] = req.id;
@@ -857,6 +874,17 @@
     }
     void on(const ProbeResult&) {}
     void on(const PeerMessage&) {}
+    // Rule 4: a server that an own start alone had taken for cold is known to be as warm as that.
+    void on(const Runs& event) {
+        Server* server = find_server(event.server);
+        const bool old = server != nullptr && server->entry.last_start.value_or(never) > event.since;
+        if (server == nullptr || server->fell || old) return;
+        server->cold_since = std::min(server->cold_since, event.since);
+    }
+    void on(const Allowance& event) {
+        allowance = event;
+        let.resize(event.per_s.size(), {0, now});
+    }
 
     void handle(double at, const Event& event, std::vector<Action>& actions) {
         now = at;
--- a/src/policy/state.h
+++ b/src/policy/state.h
@@ -39,6 +39,7 @@
 // Scarcity: a refused viewer counts as wanting for so long, s (most are back then); halvings of the search.
 constexpr double refused_kept_s = 3.0;
 constexpr int price_steps = 30;
+constexpr double let_burst_s = 0.25;  // of an allowance so much may be used at once, s
 // What price and restored rungs aim at, of links and uplinks, so that the slot test is still passed.
 constexpr double aim_fill = 0.8;
 // The slow hand's power of the ratio, each so many s (0.5 swings); own sessions at which it weighs half.
--- a/src/recovery/returning.cpp
+++ b/src/recovery/returning.cpp
@@ -43,6 +43,12 @@
     settle(id, it->second.intent ? Fate::Failed : Fate::Over);
 }
 
+// A paid set-up may have run all the same.
+void Returning::lost_power(SessionId id) {
+    const auto it = waiting_.find(id);
+    if (it != waiting_.end()) settle(id, it->second.intent ? Fate::Failed : Fate::Over);
+}
+
 std::vector<Question> Returning::ask(const std::vector<std::string>& peers, double now) {
     std::vector<Question> questions;
     if (waiting_.empty() || now < next_ask_ || now >= claims_end_) return questions;
--- a/src/recovery/returning.h
+++ b/src/recovery/returning.h
@@ -55,6 +55,7 @@
     void claimed_elsewhere(SessionId id);  // or at another one
     void plays(SessionId id);              // its server says so
     void ended(SessionId id);              // its server says so, or has started since
+    void lost_power(SessionId id);         // with its server: it plays no more
 
     // Questions that are due; `peers`: who is there now.
     std::vector<Question> ask(const std::vector<std::string>& peers, double now);
--- a/src/recovery/scope.cpp
+++ b/src/recovery/scope.cpp
@@ -24,7 +24,8 @@
 }
 
 bool ScopeFinder::settled(double now) const {
-    return same_boot_ || 2 * heard_.size() > peers_known_ || now >= began_ + set_.wait_s;
+    return same_boot_ || 2 * heard_.size() > peers_known_ || heard_.size() >= set_.enough ||
+           now >= began_ + set_.wait_s;
 }
 
 Scope ScopeFinder::scope() const {
--- a/src/recovery/scope.h
+++ b/src/recovery/scope.h
@@ -15,6 +15,7 @@
     double spread_s =
         120;            // machines that lost power at one instant are up again within so long of each other
     double wait_s = 3;  // longest wait for others' answers
+    std::size_t enough = 12;  // of a large fleet so many answers say it too
 };
 
 // What a peer tells of itself: ages, as clocks may have stepped.
@@ -36,6 +37,8 @@
     // Whether scope() will not be asked to wait for more.
     bool settled(double now) const;
     Scope scope() const;
+    std::size_t answers() const { return heard_.size(); }
+    bool heard(const std::string& peer) const { return heard_.contains(peer); }
 
 private:
     struct Heard {
--- a/tests/fleet/seal_test.cpp
+++ b/tests/fleet/seal_test.cpp
@@ -20,7 +20,7 @@
 
 Message some_message(std::mt19937_64& random) {
     Message message;
-    message.kind = static_cast<Kind>(random() % 7);
+    message.kind = static_cast<Kind>(random() % 11);
     message.number = random();
     message.target = {
         "n" + std::to_string(random() % 300), "10.0.0.1:2910", {random(), random()}, Health::Alive};
@@ -29,6 +29,19 @@
                                  "255.255.255.255:65535",
                                  {random(), random()},
                                  static_cast<Health>(random() % 4)});
+    if (message.kind != Kind::Hail && message.kind != Kind::Status) return message;
+    message.words.clear();
+    const auto ms = [&] { return static_cast<double>(random() % 1000000000) / 1000; };
+    Status& status = message.status.emplace();
+    status = {std::string(random() % (zone_most + 1), 'z'),
+              ms(),
+              ms(),
+              random(),
+              random() % 6,
+              random() % 2 == 0,
+              {}};
+    for (std::size_t i = random() % (runs_most + 1); i > 0; --i)
+        status.runs.emplace_back(static_cast<std::uint32_t>(random()), ms());
     return message;
 }
 
--- a/tests/lab/processes_test.cpp
+++ b/tests/lab/processes_test.cpp
@@ -12,6 +12,7 @@
 
 #include "lab/broken/broken.h"
 #include "lab/run/kills.h"
+#include "lab/run/power_loss.h"
 #include "lab/run/rules_plan.h"
 #include "lab/run/socket_world.h"
 
@@ -346,6 +347,112 @@
     CHECK_GE(figure("settled"), 3);
 }
 
+namespace {
+
+// Four that remember, talk and come back, two in each of two buildings.
+struct Returning {
+    Folder folder;
+    std::unique_ptr<SocketWorld> world;
+    explicit Returning(const std::string& order, int agents = 4) {
+        WorldPlan plan = power_processes_plan(1, agents);
+        plan.arrivals_per_s = 12;
+        with_recovery(plan, order);
+        world = std::make_unique<SocketWorld>(
+            plan, SocketOptions{JASPERSPREAD_BROKEN, folder.path, true, 0.0005, "", true});
+    }
+    std::size_t said(int agent, const std::string& text) { return world->process(agent).logged(text); }
+    bool waits_for(const std::function<bool()>& done) { return world->run_until(done, 60); }
+    bool all_joined() {
+        const int agents = world->plan().agents;
+        for (int agent = 0; agent < agents; ++agent) {
+            if (said(agent, "what=joined") < static_cast<std::size_t>(agents - 1)) return false;
+        }
+        return true;
+    }
+    bool scope_is(std::initializer_list<int> agents, const std::string& scope) {
+        return std::all_of(agents.begin(), agents.end(),
+                           [&](int agent) { return said(agent, " scope is=" + scope) > 0; });
+    }
+};
+
+}  // namespace
+
+TEST_CASE("processes: each tells what died with it, by its boot and by what the others say") {
+    Returning back("off");
+    REQUIRE(back.waits_for([&] { return back.all_joined(); }));
+    back.world->kill_agent(0);
+    CHECK(back.waits_for([&] { return back.scope_is({0}, "process"); }));
+    back.world->boots(1, back.world->now());
+    back.world->kill_agent(1);
+    CHECK(back.waits_for([&] { return back.scope_is({1}, "machine"); }));
+    PowerLoss building;
+    building.building = 0;
+    back.world->power_fails(building);
+    CHECK(back.waits_for([&] { return back.scope_is({0, 2}, "building"); }));
+    back.world->run_for(2);
+    CHECK_EQ(back.said(3, " scope is="), 0);  // it never died
+    back.world->power_fails({});
+    CHECK(back.waits_for([&] { return back.scope_is({0, 1, 2, 3}, "all"); }));
+    CHECK_EQ(verdict(*back.world, 12), "");
+}
+
+TEST_CASE("processes: service comes back in its order, with a split and a stopped process in the middle") {
+    Returning back("fleet");
+    REQUIRE(back.waits_for([&] { return back.all_joined(); }));
+    back.world->set_lossy({0.2, 0.05, 0.1, 0.3});
+    for (const bool again : {false, true}) {
+        const auto split = [&](bool is) {
+            for (const int one : {0, 1}) {
+                for (const int other : {2, 3}) {
+                    back.world->deaf(one, other, is);
+                    back.world->deaf(other, one, is);
+                }
+            }
+        };
+        back.world->power_fails({});
+        back.world->run_for(again ? 2.5 : 3.5);
+        if (again) back.world->power_fails({});  // in the middle of the first return
+        split(true);
+        back.world->run_for(4);
+        back.world->stop_agent(1, true);
+        back.world->run_for(3);
+        back.world->stop_agent(1, false);
+        split(false);
+        const auto ordinary = [&] {
+            for (int agent = 0; agent < 4; ++agent) {
+                if (back.said(agent, " stage is=ordinary") < (again ? 2U : 1U)) return false;
+            }
+            return true;
+        };
+        CHECK(back.waits_for(ordinary));
+    }
+    const auto& sums = back.world->ledger().sums();
+    CHECK_EQ(sums.duplicate_setups, 0);
+    CHECK_EQ(sums.cold_pushed_over, 0);
+    CHECK_EQ(verdict(*back.world, 12), "");
+}
+
+TEST_CASE(
+    "processes: buildings and all lose power, some never return, claims are kept and nothing runs twice") {
+    Returning back("fleet", 6);
+    PowerPlan plan{3, 1, 2, 1, 7, 10, 5, 0.2, false};
+    const PowerRun run = play_power(*back.world, plan);
+    CHECK_EQ(run.result.violations.empty() ? "" : run.result.violations.front(), "");
+    const auto figure = [&](const std::string& name) {
+        for (const auto& [key, value] : run.result.figures) {
+            if (key == name) return value;
+        }
+        return -1.0;
+    };
+    CHECK_EQ(figure("power_losses"), 3);
+    CHECK_GT(figure("sessions_claimed"), 10);
+    CHECK_EQ(figure("sessions_recovered_share"), 1);
+    CHECK_EQ(figure("duplicate_setups"), 0);
+    CHECK_EQ(figure("lost_outcomes"), 0);
+    CHECK_EQ(figure("cold_pushed_over"), 0);
+    CHECK_GT(figure("worth"), 0.3);
+}
+
 TEST_CASE("broken process: a paid set-up sent again after a restart") {
     caught("paid-again-restart");
 }
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -12,6 +12,8 @@
 
 // A small deployment: 4 servers of 1000 kB/s in 2 racks, every one holding every title, one safe class whose
 // rungs are 100, 200 and 400 kB/s.
+constexpr double forever_let = std::numeric_limits<double>::infinity();
+
 Settings base_settings() {
     Settings s;
     s.fronts = 1;
@@ -251,6 +253,70 @@
     for (std::size_t i = 0; i + 1 < sends.size(); ++i) EXPECT_GE(sends[i + 1] - sends[i], 2.0 - 1e-9);
 }
 
+TEST(Rules, ProofThatAServerHasRunTakesItForWarmUnlessItFellOrStartedSince) {
+    Settings s = base_settings();
+    s.cold = 10;
+    s.cold_from = 0.5;
+    s.fall = 2;
+    s.fall_multiple = 2;
+    s.places_by_kind = {10};  // one set-up a window, as above
+    const auto sent = [&](bool proof, bool fell, std::optional<double> start) {
+        Front f(s);
+        ServerEntry e = entry(1, 0);
+        e.last_start = start;
+        f.on(100, ServerList{ListKind::Restored, {e}});
+        int count = 0;
+        if (fell) {
+            f.ask(100, 5, 0);
+            f.ends(100.1, 5, 1, Ending::Dropped);
+        }
+        if (proof) f.on(105, Runs{1, 90});
+        for (std::uint64_t id = 10; id < 14; ++id) count += sent_to(f.ask(105.5, id, 0)) ? 1 : 0;
+        return count;
+    };
+    EXPECT_EQ(sent(false, false, std::nullopt), 1);
+    EXPECT_EQ(sent(true, false, std::nullopt), 4);
+    EXPECT_EQ(sent(true, false, 95), 1);  // of before its last start
+    EXPECT_EQ(sent(true, true, std::nullopt), 1);
+}
+
+TEST(Allowance, LetsInByClassAtItsRateAndTellsTheOthersWhenToComeAgain) {
+    Settings s = base_settings();
+    s.max_retry_after = 2;
+    s.classes.push_back(s.classes[0]);
+    Front f(s);
+    f.servers(0, {1, 2, 3, 4});
+    const auto ask = [&](double now, std::uint64_t id, std::uint32_t cls) {
+        Request r;
+        r.id = id;
+        r.cls = cls;
+        r.holders = 4;
+        r.not_after = now + 4;
+        return f.on(now, NewRequest{r});
+    };
+    f.on(1, Allowance{{forever_let, 2}, 0.5});
+    std::set<double> told;
+    std::uint64_t id = 0;
+    int free = 0, held = 0;
+    for (int i = 0; i < 50; ++i) {
+        const double now = 1 + 0.1 * i;
+        held += sent_to(ask(now, ++id, 0)) ? 0 : 1;
+        const auto actions = ask(now, ++id, 1);
+        free += sent_to(actions) ? 1 : 0;
+        for (const Refuse& one : of<Refuse>(actions)) told.insert(one.retry_after);
+        f.ends(now + 0.05, id - 1, 1, Ending::Delivered);
+    }
+    EXPECT_GE(free, 9);
+    EXPECT_LE(free, 11);  // two a second, over five
+    EXPECT_LE(held, 25);  // only where links are full
+    EXPECT_GE(told.size(), 20U);  // spread, so that they don't come in one wave
+    EXPECT_GE(*told.begin(), 0.5);
+    EXPECT_LE(*told.rbegin(), 1.0);
+    f.on(7, Allowance{});
+    const auto later = ask(7.1, ++id, 1);
+    for (const Refuse& one : of<Refuse>(later)) EXPECT_EQ(one.retry_after, 0);
+}
+
 // A hundred controllers side by side: what they do together.
 struct Fleet {
     Settings settings;
