--- a/lab/run/power_loss.cpp
+++ b/lab/run/power_loss.cpp
@@ -94,7 +94,7 @@
     PowerRun run;
     Uniform uniform{std::mt19937_64(plan.seed * 17 + 3)};
     const auto& sums = world.ledger().sums();
-    constexpr double step_s = 0.25;
+    constexpr double step_s = 0.5;  // whole ticks of every world
     world.run_for(plan.fills_s);
     const double earned = sums.worth_earned;
     world.run_for(plan.usual_s);
--- a/lab/run/power_loss_runs.cpp
+++ b/lab/run/power_loss_runs.cpp
@@ -87,8 +87,7 @@
         result.figures.emplace_back(order + "_virtual_over_real", virtual_s / real_s);
         if (!plot.is_open()) continue;
         plot << "s " << order << "\n";
-        for (const auto& point : run.curve.points())
-            plot << point.at << " " << point.served << "\n";
+        for (const auto& point : run.curve.points()) plot << point.at << " " << point.served << "\n";
         plot << "\n\n";
     }
     return result;
--- /dev/null
+++ b/src/agent/server_connections.cpp
@@ -0,0 +1,221 @@
+#include "server_connections.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "codec/error.h"
+
+namespace jasperspread::agent {
+
+using net::Connection;
+
+namespace {
+
+constexpr std::size_t links_per_server = 6;
+// Parts of the server's idle time: no set-up goes out on a connection that rested longer, and no connection
+// that nothing needs is kept longer. The server's own close must never meet a set-up.
+constexpr double stale_part = 0.7, idle_part = 0.6;
+constexpr double look_every_s = 0.25;
+constexpr double quiet_slack_s = 0.7;  // over the time in which a server with sessions should have spoken
+// A line must be whole so long after its first bytes, s: one that stops short is not an answer that is late.
+constexpr double whole_within_s = 0.5;
+constexpr int vain_connects = 2;  // that time out in a row before a silent machine counts as gone
+
+}  // namespace
+
+// ---- One connection ----
+
+ServerConnections::Link::Link(ServerConnections& all, ServerNumber number, const net::Address& address)
+    : server(number),
+      used(all.loop_.now()),
+      all_(all),
+      patience_(all.loop_),
+      connection(all.loop_, all.pool_, *this, address, all.limits_.connect_timeout) {}
+
+void ServerConnections::Link::opened(Connection&) {
+    Server& at = all_.server(server);
+    at.heard = used = all_.loop_.now();
+    at.vain = 0;
+    for (const std::string& text : std::exchange(at.words, {})) connection.send(text);
+    all_.user_.link_up(*this);
+}
+
+std::size_t ServerConnections::Link::received(Connection&, std::string_view bytes) {
+    std::size_t taken = 0;
+    Server& at = all_.server(server);
+    at.heard = used = all_.loop_.now();
+    at.vain = 0;
+    try {
+        while (true) {  // also while it is being closed from here: a release may be among it
+            const auto decoded = codec::decode_server(bytes.substr(taken));
+            if (!decoded) break;
+            taken += decoded->size;
+            patience_.cancel();
+            all_.user_.taken(*this, decoded->message);
+        }
+    } catch (const codec::CodecError& error) {
+        // A peer that can't be read ends its own connection only.
+        break_off(error.what());
+        return taken;
+    }
+    // Guards against a line that stops short: what comes after it on this connection can't be told from it.
+    if (taken < bytes.size() && !patience_.is_set()) {
+        patience_.set(all_.loop_.now() + whole_within_s, [this] { break_off("a line stops short"); });
+    }
+    return taken;
+}
+
+void ServerConnections::Link::break_off(const std::string& why) {
+    all_.log_.warn("server_unreadable", {{"server", std::to_string(server)}, {"why", why}});
+    patience_.cancel();
+    connection.close();
+    all_.ended(*this, Connection::End::Reset);
+}
+
+// ---- All of them ----
+
+ServerConnections::Server& ServerConnections::server(ServerNumber number) {
+    Server& at = servers_[number];
+    if (!at.watch) at.watch = std::make_unique<net::Timer>(loop_);
+    return at;
+}
+
+void ServerConnections::heard(ServerNumber number) {
+    server(number).heard = std::max(server(number).heard, loop_.now());
+}
+
+void ServerConnections::drop_words(ServerNumber number) {
+    server(number).words.clear();
+    server(number).vain = 0;
+}
+
+bool ServerConnections::holds(ServerNumber number) {
+    const auto it = servers_.find(number);
+    if (it == servers_.end()) return false;
+    if (!it->second.links.empty() || !it->second.words.empty()) return true;
+    servers_.erase(it);
+    return false;
+}
+
+ServerConnections::Link* ServerConnections::open(ServerNumber number) {
+    const KnownServer* known = directory_.find(number);
+    Server& at = server(number);
+    if (known == nullptr || at.links.size() >= links_per_server || links_ >= limits_.connections)
+        return nullptr;
+    at.links.push_back(std::make_shared<Link>(*this, number, known->address));
+    ++links_;
+    watch(number);
+    return at.links.back().get();
+}
+
+ServerConnections::Link* ServerConnections::for_set_up(ServerNumber number) {
+    const double stale = loop_.now() - stale_part * limits_.conn_idle;
+    Link* best = nullptr;
+    for (const auto& link : server(number).links) {
+        if (link->leaving || link->sessions.size() >= limits_.streams_per_conn) continue;
+        if (limits_.conn_idle > 0 && link->used < stale) continue;
+        const bool better = best == nullptr || (link->connection.is_open() && !best->connection.is_open());
+        if (better) best = link.get();
+    }
+    return best != nullptr ? best : open(number);
+}
+
+ServerConnections::Link* ServerConnections::talking(Server& at, const Link* preferred) {
+    Link* any = nullptr;
+    for (const auto& link : at.links) {
+        if (!link->connection.is_open() || link->leaving) continue;
+        if (link.get() == preferred) return link.get();
+        any = link.get();
+    }
+    return any;
+}
+
+// Sends a message on a session by its own connection, another one there, or the next one.
+void ServerConnections::speak(ServerNumber number, const Link* preferred,
+                              const codec::ServerMessage& message) {
+    Server& at = server(number);
+    const std::string text = encode(message);
+    if (Link* link = talking(at, preferred)) {
+        link->used = loop_.now();
+        return link->connection.send(text);
+    }
+    constexpr std::size_t most_words = 256;
+    if (at.words.size() < most_words) at.words.push_back(text);
+    keep(number);
+}
+
+void ServerConnections::keep(ServerNumber number) {
+    const bool has = std::any_of(server(number).links.begin(), server(number).links.end(),
+                                 [](const auto& link) { return !link->leaving; });
+    if (!has) open(number);
+    watch(number);
+}
+
+void ServerConnections::watch(ServerNumber number) {
+    Server& at = server(number);
+    if (!at.watch->is_set()) {
+        at.watch->set(loop_.now() + look_every_s, [this, number] { look_after(number); });
+    }
+}
+
+// Closes what nothing needs, and sees to a connection while sessions stand or words wait. A machine that has
+// vanished says nothing on its open connections: where notes stay out, a new connection tells whether it is
+// there, as a frozen process still gets its connections accepted.
+void ServerConnections::look_after(ServerNumber number) {
+    Server& at = server(number);
+    const double now = loop_.now();
+    std::size_t staying = 0;
+    for (const auto& link : at.links) staying += link->leaving ? 0 : 1;
+    for (const auto& link : at.links) {
+        const bool needed = !link->sessions.empty() || (staying == 1 && user_.stands(number));
+        if (link->leaving || needed || !link->connection.is_open()) continue;
+        if (limits_.conn_idle <= 0 || now < link->used + idle_part * limits_.conn_idle) continue;
+        link->leaving = true;
+        --staying;
+        link->connection.finish();
+    }
+    if (user_.stands(number) || !at.words.empty()) {
+        keep(number);
+        const bool connecting = std::any_of(at.links.begin(), at.links.end(), [](const auto& link) {
+            return !link->leaving && !link->connection.is_open();
+        });
+        if (quiet(at) && !connecting) open(number);
+    }
+    if (!at.links.empty() || user_.stands(number) || !at.words.empty()) watch(number);
+}
+
+// Nothing came for longer than a server with sessions is silent.
+bool ServerConnections::quiet(const Server& at) const {
+    const double longest = limits_.note_every + limits_.note_late + quiet_slack_s;
+    return limits_.note_every > 0 && loop_.now() > at.heard + longest;
+}
+
+void ServerConnections::ended(Link& link, Connection::End why) {
+    const ServerNumber number = link.server;
+    Server& at = server(number);
+    const auto self = std::find_if(at.links.begin(), at.links.end(),
+                                   [&](const auto& other) { return other.get() == &link; });
+    if (self == at.links.end()) return;
+    loop_.retire(*self);
+    at.links.erase(self);
+    --links_;
+    // A server at its cap of connections refuses too, but keeps those that it has; one that has left the list
+    // and refuses is gone, though it may not have closed them.
+    const KnownServer* known = directory_.find(number);
+    const bool left = known == nullptr || known->entry.state == cinderfront::ServerState::Gone;
+    const bool proof = why == Connection::End::Refused && (left || talking(at, nullptr) == nullptr);
+    const bool silent = why == Connection::End::TimedOut && ++at.vain >= vain_connects && quiet(at);
+    user_.link_over(link, why, proof ? Process::Gone : silent ? Process::Silent : Process::Unknown);
+    watch(number);
+}
+
+void ServerConnections::close_idle(ServerNumber number) {
+    if (user_.stands(number)) return;
+    for (const auto& link : server(number).links) {
+        if (!link->sessions.empty() || !link->connection.is_open()) continue;
+        link->leaving = true;
+        link->connection.finish();
+    }
+}
+
+}  // namespace jasperspread::agent
--- /dev/null
+++ b/src/agent/server_connections.h
@@ -0,0 +1,112 @@
+// The connections to lesson servers: opened for who needs one, kept while something stands there, closed when
+// they rest, with what is to be said on the next one. What is on them is their user's business.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "agent/directory.h"
+#include "agent/log.h"
+#include "agent/seam.h"
+#include "codec/server_codec.h"
+#include "net/buffer_pool.h"
+#include "net/connection.h"
+#include "net/loop.h"
+
+namespace jasperspread::agent {
+
+struct LinkLimits {
+    double connect_timeout = 0, conn_idle = 0;  // s
+    std::size_t streams_per_conn = 0, connections = 0;
+    double note_every = 0, note_late = 0;  // how often a server with sessions speaks, and how late
+};
+
+class ServerConnections {
+public:
+    class Link;
+    // What the end of a connection says of the server's process.
+    enum class Process { Unknown, Gone, Silent };  // Gone: there is proof; Silent: for so long that it counts
+
+    class User {
+    public:
+        virtual void link_up(Link& link) = 0;
+        virtual void taken(Link& link, const codec::ServerMessage& message) = 0;
+        // What was on it goes elsewhere, or is over; the object lives until the loop's next turn.
+        virtual void link_over(Link& link, net::Connection::End why, Process process) = 0;
+        virtual bool stands(ServerNumber number) const = 0;  // a session, so that a connection is kept
+
+    protected:
+        ~User() = default;
+    };
+
+    ServerConnections(net::Loop& loop, net::BufferPool& pool, Log& log, User& user,
+                      const ServerDirectory& directory, const LinkLimits& limits)
+        : loop_(loop), pool_(pool), log_(log), user_(user), directory_(directory), limits_(limits) {}
+
+    Link* for_set_up(ServerNumber number);  // null: there is none to be had
+    // Says it on this connection, on another one there, or on the next one.
+    void speak(ServerNumber number, const Link* preferred, const codec::ServerMessage& message);
+    void keep(ServerNumber number);   // one at least, as long as something stands there
+    void heard(ServerNumber number);  // as if it had spoken now
+    void drop_words(ServerNumber number);
+    void close_idle(ServerNumber number);
+    // Whether a connection is there, or a word that waits for one. What is known of a server without goes.
+    bool holds(ServerNumber number);
+
+private:
+    struct Server {
+        std::vector<std::shared_ptr<Link>> links;
+        std::vector<std::string> words;  // messages on sessions that wait for a connection
+        double heard = 0;                // something came from there, or a connection came up
+        int vain = 0;                    // connections that timed out since
+        std::unique_ptr<net::Timer> watch;
+    };
+    Server& server(ServerNumber number);
+    Link* open(ServerNumber number);
+    Link* talking(Server& at, const Link* preferred);
+    void watch(ServerNumber number);
+    void look_after(ServerNumber number);
+    bool quiet(const Server& at) const;
+    void ended(Link& link, net::Connection::End why);
+
+    net::Loop& loop_;
+    net::BufferPool& pool_;
+    Log& log_;
+    User& user_;
+    const ServerDirectory& directory_;
+    const LinkLimits limits_;
+    std::map<ServerNumber, Server> servers_;
+    std::size_t links_ = 0;
+};
+
+// One connection to a server.
+class ServerConnections::Link : public net::Connection::Owner {
+public:
+    Link(ServerConnections& all, ServerNumber number, const net::Address& address);
+
+    void opened(net::Connection&) override;
+    std::size_t received(net::Connection&, std::string_view bytes) override;
+    void writable(net::Connection&) override { all_.user_.link_up(*this); }
+    void ended(net::Connection&, net::Connection::End why) override { all_.ended(*this, why); }
+
+    const ServerNumber server;
+    std::deque<SessionId> queue;   // set-ups not yet written
+    std::set<SessionId> sessions;  // set-ups and sessions that were set up here
+    double used;                   // last traffic
+    bool leaving = false;          // being closed from here
+
+private:
+    void break_off(const std::string& why);
+
+    ServerConnections& all_;
+    net::Timer patience_;
+
+public:
+    net::Connection connection;  // last: it may not call back before the rest is there
+};
+
+}  // namespace jasperspread::agent
--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -18,15 +18,7 @@
 
 // Causes of releases, as PROTOCOL words them.
 constexpr int cause_ok = 16, cause_cancelled = 31, cause_full = 34, cause_error = 47, cause_moot = 102;
-constexpr std::size_t links_per_server = 6;
-// Parts of the server's idle time: no set-up goes out on a connection that rested longer, and no connection
-// that nothing needs is kept longer. The server's own close must never meet a set-up.
-constexpr double stale_part = 0.7, idle_part = 0.6;
-constexpr double look_every_s = 0.25, retry_s = 0.25, probe_timeout_s = 1.0;
-constexpr double quiet_slack_s = 0.7;  // over the time in which a server with sessions should have spoken
-// A line must be whole so long after its first bytes, s: one that stops short is not an answer that is late.
-constexpr double whole_within_s = 0.5;
-constexpr int vain_connects = 2;  // that time out in a row before a silent machine counts as gone
+constexpr double probe_timeout_s = 1.0;
 
 Ending ending_of_attempt(const ServerMessage& message) {
     switch (message.cause.value_or(0)) {
@@ -84,205 +76,37 @@
     return report;
 }
 
-// One connection to a server.
-class ServerLinks::Link : public Connection::Owner {
-public:
-    Link(ServerLinks& all, ServerNumber number, const net::Address& address)
-        : server(number),
-          used(all.loop_.now()),
-          all_(all),
-          patience_(all.loop_),
-          connection(all.loop_, all.pool_, *this, address, all.limits_.connect_timeout) {}
-
-    void opened(Connection&) override {
-        Server& at = all_.server(server);
-        at.heard = used = all_.loop_.now();
-        at.vain = 0;
-        for (const std::string& text : std::exchange(at.words, {})) connection.send(text);
-        all_.pump(*this);
-    }
-    std::size_t received(Connection&, std::string_view bytes) override {
-        std::size_t taken = 0;
-        Server& at = all_.server(server);
-        at.heard = used = all_.loop_.now();
-        at.vain = 0;
-        try {
-            while (true) {  // also while it is being closed from here: a release may be among it
-                const auto decoded = codec::decode_server(bytes.substr(taken));
-                if (!decoded) break;
-                taken += decoded->size;
-                patience_.cancel();
-                all_.take(*this, decoded->message);
-            }
-        } catch (const codec::CodecError& error) {
-            // A peer that can't be read ends its own connection only.
-            break_off(error.what());
-            return taken;
-        }
-        // Guards against a line that stops short: what comes after it on this connection can't be told from
-        // it.
-        if (taken < bytes.size() && !patience_.is_set()) {
-            patience_.set(all_.loop_.now() + whole_within_s, [this] { break_off("a line stops short"); });
-        }
-        return taken;
-    }
-    void writable(Connection&) override { all_.pump(*this); }
-    void ended(Connection&, Connection::End why) override { all_.link_ended(*this, why); }
-
-    const ServerNumber server;
-    std::deque<SessionId> queue;   // set-ups not yet written
-    std::set<SessionId> sessions;  // set-ups and sessions that were set up here
-    double used;                   // last traffic
-    bool leaving = false;          // being closed from here
-
-private:
-    void break_off(const std::string& why) {
-        all_.log_.warn("server_unreadable", {{"server", std::to_string(server)}, {"why", why}});
-        patience_.cancel();
-        connection.close();
-        all_.link_ended(*this, Connection::End::Reset);
-    }
-
-    ServerLinks& all_;
-    net::Timer patience_;
-
-public:
-    Connection connection;  // last: it may not call back before the rest is there
-};
-
 ServerLinks::ServerLinks(net::Loop& loop, net::BufferPool& pool, Log& log, ServerEvents& events,
                          const ServerDirectory& directory, const LinkLimits& limits)
-    : loop_(loop), pool_(pool), log_(log), events_(events), directory_(directory), limits_(limits) {}
+    : loop_(loop),
+      log_(log),
+      events_(events),
+      directory_(directory),
+      limits_(limits),
+      connections_(loop, pool, log, *this, directory, limits) {}
 
 ServerLinks::~ServerLinks() {
     for (auto& [tag, probe] : probes_) loop_.deadlines().cancel(probe.end);
 }
 
-ServerLinks::Server& ServerLinks::server(ServerNumber number) {
-    Server& at = servers_[number];
-    if (!at.watch) at.watch = std::make_unique<net::Timer>(loop_);
-    return at;
-}
-
-// ---- Connections ----
-
-ServerLinks::Link* ServerLinks::open_link(ServerNumber number) {
-    const KnownServer* known = directory_.find(number);
-    Server& at = server(number);
-    if (known == nullptr || at.links.size() >= links_per_server || links_ >= limits_.connections)
-        return nullptr;
-    at.links.push_back(std::make_shared<Link>(*this, number, known->address));
-    ++links_;
-    watch(number);
-    return at.links.back().get();
-}
-
-ServerLinks::Link* ServerLinks::link_for_set_up(ServerNumber number) {
-    const double stale = loop_.now() - stale_part * limits_.conn_idle;
-    Link* best = nullptr;
-    for (const auto& link : server(number).links) {
-        if (link->leaving || link->sessions.size() >= limits_.streams_per_conn) continue;
-        if (limits_.conn_idle > 0 && link->used < stale) continue;
-        const bool better = best == nullptr || (link->connection.is_open() && !best->connection.is_open());
-        if (better) best = link.get();
-    }
-    return best != nullptr ? best : open_link(number);
-}
-
-ServerLinks::Link* ServerLinks::talking_link(Server& at, const Link* preferred) {
-    Link* any = nullptr;
-    for (const auto& link : at.links) {
-        if (!link->connection.is_open() || link->leaving) continue;
-        if (link.get() == preferred) return link.get();
-        any = link.get();
-    }
-    return any;
-}
-
-// Sends a message on a session by its own connection, another one there, or the next one.
-void ServerLinks::speak(ServerNumber number, const Link* preferred, const ServerMessage& message) {
-    Server& at = server(number);
-    const std::string text = encode(message);
-    if (Link* link = talking_link(at, preferred)) {
-        link->used = loop_.now();
-        return link->connection.send(text);
-    }
-    constexpr std::size_t most_words = 256;
-    if (at.words.size() < most_words) at.words.push_back(text);
-    keep_link(number);
-}
-
-void ServerLinks::keep_link(ServerNumber number) {
-    const bool has = std::any_of(server(number).links.begin(), server(number).links.end(),
-                                 [](const auto& link) { return !link->leaving; });
-    if (!has) open_link(number);
-    watch(number);
-}
-
-void ServerLinks::watch(ServerNumber number) {
-    Server& at = server(number);
-    if (!at.watch->is_set()) {
-        at.watch->set(loop_.now() + look_every_s, [this, number] { look_after(number); });
-    }
-}
-
-// Closes what nothing needs, and sees to a connection while sessions stand or words wait. A machine that has
-// vanished says nothing on its open connections: where notes stay out, a new connection tells whether it is
-// there, as a frozen process still gets its connections accepted.
-void ServerLinks::look_after(ServerNumber number) {
-    Server& at = server(number);
-    const double now = loop_.now();
-    std::size_t staying = 0;
-    for (const auto& link : at.links) staying += link->leaving ? 0 : 1;
-    for (const auto& link : at.links) {
-        const bool needed = !link->sessions.empty() || (staying == 1 && !at.standing.empty());
-        if (link->leaving || needed || !link->connection.is_open()) continue;
-        if (limits_.conn_idle <= 0 || now < link->used + idle_part * limits_.conn_idle) continue;
-        link->leaving = true;
-        --staying;
-        link->connection.finish();
-    }
-    if (!at.standing.empty() || !at.words.empty()) {
-        keep_link(number);
-        const bool connecting = std::any_of(at.links.begin(), at.links.end(), [](const auto& link) {
-            return !link->leaving && !link->connection.is_open();
-        });
-        if (quiet(at) && !connecting) open_link(number);
-    }
-    if (!at.links.empty() || !at.standing.empty() || !at.words.empty()) watch(number);
-}
-
-// Nothing came for longer than a server with sessions is silent.
-bool ServerLinks::quiet(const Server& at) const {
-    const double longest = limits_.note_every + limits_.note_late + quiet_slack_s;
-    return limits_.note_every > 0 && loop_.now() > at.heard + longest;
+bool ServerLinks::stands(ServerNumber number) const {
+    const auto it = servers_.find(number);
+    return it != servers_.end() && !it->second.standing.empty();
 }
 
-void ServerLinks::link_ended(Link& link, Connection::End why) {
+void ServerLinks::link_over(Link& link, Connection::End why, ServerConnections::Process process) {
+    using Process = ServerConnections::Process;
     const ServerNumber number = link.server;
-    Server& at = server(number);
-    const auto self = std::find_if(at.links.begin(), at.links.end(),
-                                   [&](const auto& other) { return other.get() == &link; });
-    if (self == at.links.end()) return;
-    loop_.retire(*self);
-    at.links.erase(self);
-    --links_;
     const bool never_up = why == Connection::End::Refused || why == Connection::End::TimedOut ||
                           why == Connection::End::Unavailable;
-    const std::deque<SessionId> queued = std::exchange(link.queue, {});
+    link.queue.clear();
     const std::set<SessionId> sessions = std::exchange(link.sessions, {});
     for (const SessionId id : sessions) {
         const auto it = entries_.find(id);
         if (it != entries_.end()) it->second.link = nullptr;
     }
-    // A server at its cap of connections refuses too, but keeps those that it has; one that has left the list
-    // and refuses is gone, though it may not have closed them.
-    const KnownServer* known = directory_.find(number);
-    const bool left = known == nullptr || known->entry.state == cinderfront::ServerState::Gone;
-    const bool proof = why == Connection::End::Refused && (left || talking_link(at, nullptr) == nullptr);
-    if (proof) events_.process_gone(number);
-    if (proof) all_over(number);
-    if (why == Connection::End::TimedOut && ++at.vain >= vain_connects && quiet(at)) all_over(number);
+    if (process == Process::Gone) events_.process_gone(number);
+    if (process != Process::Unknown) all_over(number);
     for (const SessionId id : sessions) {
         const auto it = entries_.find(id);
         if (it == entries_.end()) continue;
@@ -299,15 +123,12 @@
             set_up(attempt);
         }
     }
-    watch(number);
 }
 
 // The process at a server is gone, and with it what stood there.
 void ServerLinks::all_over(ServerNumber number) {
-    Server& at = server(number);
-    at.words.clear();
-    at.vain = 0;
-    for (const SessionId id : std::exchange(at.standing, {})) {
+    connections_.drop_words(number);
+    for (const SessionId id : std::exchange(servers_[number].standing, {})) {
         erase(id);
         events_.session_ended(id, Ending::Dropped, {});
     }
@@ -332,10 +153,8 @@
 bool ServerLinks::holds(ServerNumber number) {
     const auto there = [&](const auto& entry) { return entry.second.attempt.server == number; };
     if (std::any_of(entries_.begin(), entries_.end(), there)) return true;
-    const auto it = servers_.find(number);
-    if (it == servers_.end()) return false;
-    if (!it->second.links.empty() || !it->second.words.empty()) return true;
-    servers_.erase(it);
+    if (connections_.holds(number)) return true;
+    servers_.erase(number);
     return false;
 }
 
@@ -358,7 +177,7 @@
 
 void ServerLinks::set_up(const Attempt& attempt) {
     Entry& entry = entries_[attempt.id];
-    entry = Entry{attempt, State::Queued, link_for_set_up(attempt.server), loop_.now()};
+    entry = Entry{attempt, State::Queued, connections_.for_set_up(attempt.server), loop_.now()};
     if (entry.link == nullptr) return attempt_over(attempt.id, Ending::Unused, {});
     Link& link = *entry.link;
     link.sessions.insert(attempt.id);
@@ -410,7 +229,7 @@
     const auto it = entries_.find(id);
     if (it == entries_.end()) return;
     if (it->second.link != nullptr) it->second.link->sessions.erase(id);
-    server(it->second.attempt.server).standing.erase(id);
+    servers_[it->second.attempt.server].standing.erase(id);
     entries_.erase(it);
 }
 
@@ -421,7 +240,7 @@
     const bool connecting = entry.link != nullptr && !entry.link->connection.is_open();
     erase(id);
     if (entry.state == State::Queued) return connecting ? GivenUp::Connecting : GivenUp::Queued;
-    speak(entry.attempt.server, entry.link, word(ServerVerb::Finish, id, cause_ok));
+    connections_.speak(entry.attempt.server, entry.link, word(ServerVerb::Finish, id, cause_ok));
     return GivenUp::Sent;
 }
 
@@ -432,7 +251,7 @@
     if (it->second.state == State::Queued) return;
     ServerMessage message = word(ServerVerb::Rate, id);
     message.fields = {{"rung", std::to_string(rung)}};
-    speak(it->second.attempt.server, it->second.link, message);
+    connections_.speak(it->second.attempt.server, it->second.link, message);
 }
 
 void ServerLinks::end_session(SessionId id) {
@@ -442,7 +261,7 @@
     erase(id);
     ServerMessage message = word(ServerVerb::Finish, id, cause_cancelled);
     if (entry.epoch > 0) message.fields["epoch"] = std::to_string(entry.epoch);
-    speak(entry.attempt.server, entry.link, message);
+    connections_.speak(entry.attempt.server, entry.link, message);
 }
 
 void ServerLinks::adopt(SessionId id, ServerNumber number) {
@@ -451,14 +270,14 @@
     entry.attempt.server = number;
     entry.state = State::Standing;
     entry.since = loop_.now();
-    server(number).standing.insert(id);
-    server(number).heard = std::max(server(number).heard, entry.since);
-    keep_link(number);
+    servers_[number].standing.insert(id);
+    connections_.heard(number);
+    connections_.keep(number);
 }
 
 // ---- What servers say ----
 
-void ServerLinks::take(Link& link, const ServerMessage& message) {
+void ServerLinks::taken(Link& link, const ServerMessage& message) {
     const SessionId id = message.session;
     const auto it = entries_.find(id);
     Entry* entry = it != entries_.end() && it->second.attempt.server == link.server ? &it->second : nullptr;
@@ -470,7 +289,7 @@
             } else if (entry->state == State::Written) {
                 entry->state = State::Standing;
                 entry->since = loop_.now();
-                server(link.server).standing.insert(id);
+                servers_[link.server].standing.insert(id);
                 events_.started(id, message.description.value_or(""));
             }
             break;
@@ -516,7 +335,7 @@
 void ServerLinks::take_named(Link& link, const ServerMessage& message) {
     if (message.name == "FEATURE") {
         const std::string* feature = message.field("handover");
-        Server& at = server(link.server);
+        Server& at = servers_[link.server];
         at.hands_over = feature != nullptr && *feature == "1";
         if (!at.hands_over) return;
         for (const auto& [id, text] : std::exchange(at.prepares, {})) link.connection.send(text);
@@ -555,14 +374,14 @@
     }
     // A server that was never spoken with has announced nothing yet: a connection tells. Whoever does not
     // know these messages never gets one.
-    Server& at = server(said.server);
+    Server& at = servers_[said.server];
     constexpr std::size_t most_waiting = 64;
     try {
-        if (at.hands_over) return speak(said.server, nullptr, message);
+        if (at.hands_over) return connections_.speak(said.server, nullptr, message);
         at.prepares.erase(said.session);
         if (said.verb != handover::Verb::Prepare || at.prepares.size() >= most_waiting) return;
         at.prepares.emplace(said.session, encode(message));
-        keep_link(said.server);
+        connections_.keep(said.server);
     } catch (const codec::CodecError&) {  // escaped, the description no longer fits a line: no hand-over then
         log_.warn("handover_too_long", {{"session", codec::to_hex(said.session)}});
     }
@@ -581,8 +400,8 @@
     moved.home_epoch = moved.epoch;
     moved.since = loop_.now();
     entries_[id] = moved;
-    server(number).standing.insert(id);
-    keep_link(number);
+    servers_[number].standing.insert(id);
+    connections_.keep(number);
 }
 
 void ServerLinks::set_epoch(SessionId id, std::uint64_t epoch) {
@@ -592,7 +411,7 @@
 void ServerLinks::end_at(SessionId id, ServerNumber number, std::uint64_t epoch) {
     ServerMessage message = word(ServerVerb::Finish, id, cause_cancelled);
     message.fields["epoch"] = std::to_string(epoch);
-    speak(number, nullptr, message);
+    connections_.speak(number, nullptr, message);
 }
 
 void ServerLinks::finished(const ServerMessage& message) {
@@ -613,7 +432,7 @@
     probes_[tag] = Probe{number, now, loop_.deadlines().add(now + probe_timeout_s, [this, tag] {
                              probe_over(tag, Ending::Expired, {});
                          })};
-    speak(number, nullptr, word(ServerVerb::Echo, tag, 1));
+    connections_.speak(number, nullptr, word(ServerVerb::Echo, tag, 1));
 }
 
 void ServerLinks::probe_over(SessionId tag, Ending how, const LoadReport& load) {
@@ -625,13 +444,4 @@
     events_.probed(probe.server, how, loop_.now() - probe.sent, load);
 }
 
-void ServerLinks::close_idle(ServerNumber number) {
-    Server& at = server(number);
-    for (const auto& link : at.links) {
-        if (!link->sessions.empty() || !at.standing.empty() || !link->connection.is_open()) continue;
-        link->leaving = true;
-        link->connection.finish();
-    }
-}
-
 }  // namespace jasperspread::agent
--- a/src/agent/server_links.h
+++ b/src/agent/server_links.h
@@ -1,5 +1,5 @@
-// The connections to lesson servers and what is on them: set-ups that wait for a connection, set-ups that are
-// out, and sessions that stand. A session that stands belongs to its server, not to a connection.
+// What is on the connections to lesson servers: set-ups that wait for one, set-ups that are out, and sessions
+// that stand. A session that stands belongs to its server, not to a connection.
 #pragma once
 
 #include <cinderfront/controller.h>
@@ -14,20 +14,11 @@
 
 #include "agent/log.h"
 #include "agent/seam.h"
-#include "codec/server_codec.h"
-#include "net/buffer_pool.h"
-#include "net/connection.h"
-#include "net/loop.h"
+#include "agent/server_connections.h"
 
 namespace jasperspread::agent {
 
-struct LinkLimits {
-    double connect_timeout = 0, conn_idle = 0;  // s
-    std::size_t streams_per_conn = 0, connections = 0;
-    double note_every = 0, note_late = 0;  // how often a server with sessions speaks, and how late
-};
-
-class ServerLinks : public ServerPort {
+class ServerLinks : public ServerPort, private ServerConnections::User {
 public:
     ServerLinks(net::Loop& loop, net::BufferPool& pool, Log& log, ServerEvents& events,
                 const ServerDirectory& directory, const LinkLimits& limits);
@@ -53,10 +44,10 @@
     void set_epoch(SessionId id, std::uint64_t epoch) override;
     void end_at(SessionId id, ServerNumber server, std::uint64_t epoch) override;
     void probe(ServerNumber server) override;
-    void close_idle(ServerNumber server) override;
+    void close_idle(ServerNumber server) override { connections_.close_idle(server); }
 
 private:
-    class Link;
+    using Link = ServerConnections::Link;
     enum class State { Queued, Written, Standing };
     struct Entry {
         Attempt attempt;
@@ -67,14 +58,9 @@
         std::uint64_t home_epoch = 0;  // of the one that brought it to where it stands
     };
     struct Server {
-        std::vector<std::shared_ptr<Link>> links;
         std::set<SessionId> standing;
-        std::vector<std::string> words;             // messages on sessions that wait for a connection
-        double heard = 0;                           // something came from there, or a connection came up
-        int vain = 0;                               // connections that timed out since
         bool hands_over = false;                    // it has announced that it can
         std::map<SessionId, std::string> prepares;  // that wait for it to announce that
-        std::unique_ptr<net::Timer> watch;
     };
     struct Probe {
         ServerNumber server = 0;
@@ -82,28 +68,19 @@
         net::Deadlines::Key end{0, 0};
     };
 
-    Server& server(ServerNumber number);
-    Link* link_for_set_up(ServerNumber number);
-    Link* open_link(ServerNumber number);
-    Link* talking_link(Server& at, const Link* preferred);
-    void speak(ServerNumber number, const Link* preferred, const codec::ServerMessage& message);
-    void keep_link(ServerNumber number);
-    void watch(ServerNumber number);
-    void look_after(ServerNumber number);
-    bool quiet(const Server& at) const;
+    void link_up(Link& link) override { pump(link); }
+    void taken(Link& link, const codec::ServerMessage& message) override;
+    void link_over(Link& link, net::Connection::End why, ServerConnections::Process process) override;
+    bool stands(ServerNumber number) const override;
     void pump(Link& link);
-    void take(Link& link, const codec::ServerMessage& message);
     void finished(const codec::ServerMessage& message);
     void take_named(Link& link, const codec::ServerMessage& message);
-    void link_ended(Link& link, net::Connection::End why);
-    void end_queued(Link& link, cinderfront::Ending how);
     void attempt_over(SessionId id, cinderfront::Ending how, const cinderfront::LoadReport& load);
     void all_over(ServerNumber number);
     void erase(SessionId id);
     void probe_over(SessionId tag, cinderfront::Ending how, const cinderfront::LoadReport& load);
 
     net::Loop& loop_;
-    net::BufferPool& pool_;
     Log& log_;
     ServerEvents& events_;
     const ServerDirectory& directory_;
@@ -111,8 +88,8 @@
     std::map<ServerNumber, Server> servers_;
     std::unordered_map<SessionId, Entry> entries_;
     std::unordered_map<SessionId, Probe> probes_;
-    std::size_t links_ = 0;
     SessionId next_probe_ = 1;
+    ServerConnections connections_;  // last: they may not call back before the rest is there
 };
 
 // "x0:12;x1:40" with the names of the settings; fields that this program does not know are passed over.
