--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -228,9 +228,11 @@
 }
 
 // All who are there, in as many messages as it takes; and what is known of the asker, its earlier lives too.
-void Membership::list_to(const Name& asker, const Address& to, std::vector<Letter>& out) {
+void Membership::list_to(const Name& asker, const Address& to, std::uint64_t number,
+                         std::vector<Letter>& out) {
     Message message;
     message.kind = Kind::List;
+    message.number = number;
     message.words.push_back(self_);
     const auto flush = [&] {
         out.push_back({to, message});
@@ -348,17 +350,27 @@
 }
 
 // The whole list from one who is there: soon after our start, when all may be new to each other and news
-// would take long, and then ever more seldom, for what news has missed.
+// would take long, and then ever more seldom, for what news has missed. An answer that never came is asked
+// for again no later than the one before.
 void Membership::ask_for_list(double now, std::vector<Letter>& out) {
-    list_pause_ = std::min(list_pause_ > 0 ? 2 * list_pause_ : set_.probe_every_s,
-                           list_pause_most * set_.probe_every_s);
+    const double longer = list_asked_ == 0 ? 2 * list_pause_ : list_pause_;
+    list_pause_ = std::clamp(longer, set_.probe_every_s, list_pause_most * set_.probe_every_s);
     next_list_ = now + list_pause_ * (0.75 + 0.5 * uniform());
     Message join;
     join.kind = Kind::Join;
+    join.number = list_asked_ = ++numbers_;
     join.words.push_back(self_);
     for (const Member* one : some(1, "")) out.push_back({one->word.address, join});
 }
 
+// One that told of somebody new may have had more to tell, in datagrams that were lost: soon another one.
+void Membership::list_heard(const Message& message, bool told_news, double now) {
+    if (message.number == list_asked_) list_asked_ = 0;
+    if (!told_news) return;
+    list_pause_ = 0;
+    next_list_ = std::min(next_list_, now + set_.probe_every_s * (0.75 + 0.5 * uniform()));
+}
+
 // A process that stood still judges nobody by the time that it missed.
 void Membership::stood_still(double missed) {
     ++counts_.stood_still;
@@ -434,7 +446,9 @@
         return out;
     }
     learn({from, at, life, Health::Alive}, from, now);
+    const std::size_t known = members_.size();
     for (const Word& word : message.words) learn(word, from, now);
+    if (message.kind == Kind::List) list_heard(message, members_.size() > known, now);
     if (std::exchange(refuted_, false)) {
         Message lives;
         lives.kind = Kind::List;
@@ -470,7 +484,7 @@
             break;
         }
         case Kind::Join:
-            list_to(from, at, out);
+            list_to(from, at, message.number, out);
             break;
         case Kind::List:
         case Kind::Challenge:
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -113,7 +113,8 @@
     double uniform() { return static_cast<double>(random_() >> 11) * 0x1p-53; }
     std::size_t tellings() const;
     Message with_news(Kind kind, std::uint64_t number, const Name& to);
-    void list_to(const Name& asker, const Address& to, std::vector<Letter>& out);
+    void list_to(const Name& asker, const Address& to, std::uint64_t number, std::vector<Letter>& out);
+    void list_heard(const Message& message, bool told_news, double now);
     std::optional<Name> next_probed();
     std::vector<const Member*> some(std::size_t count, const Name& but);
     void begin_probe(double now, std::vector<Letter>& out);
@@ -137,6 +138,7 @@
     std::uint64_t numbers_ = 0;
     double next_probe_, next_sync_, next_list_, turned_;
     double list_pause_ = 0;
+    std::uint64_t list_asked_ = 0;  // number of the last one asked for; 0: it was answered
     unsigned sickness_ = 0;
     bool refuted_ = false;  // and nobody was told yet
     bool retired_ = false;
