--- a/lab/run/power_loss.cpp
+++ b/lab/run/power_loss.cpp
@@ -144,6 +144,11 @@
     world.finish(12);
     add_ledger(run.result, world.ledger(), "ledger");
     const Counts all = count(world);
+    const auto both = [](const std::map<bool, std::vector<double>>& times) {
+        std::vector<double> list;
+        for (const auto& [one, some] : times) list.insert(list.end(), some.begin(), some.end());
+        return list;
+    };
     const auto part_of = [](double some, double whole) { return whole > 0 ? some / whole : 1.0; };
     double lost_outcomes = static_cast<double>(sums.lost - sums.excused);
     run.result.figures = {
@@ -162,6 +167,8 @@
         {"lost_outcomes", lost_outcomes},
         {"late_after_drain", static_cast<double>(sums.late_after_drain)},
         {"cold_pushed_over", static_cast<double>(sums.cold_pushed_over)},
+        {"half_service_s", part(both(half), 0.5)},
+        {"ninety_service_s", part(both(ninety), 0.5)},
         {"half_service_s_all", part(half[false], 0.5)},
         {"ninety_service_s_all", part(ninety[false], 0.5)},
         {"half_service_s_building", part(half[true], 0.5)},
--- a/lab/run/power_loss_runs.cpp
+++ b/lab/run/power_loss_runs.cpp
@@ -90,6 +90,14 @@
         for (const auto& point : run.curve.points()) plot << point.at << " " << point.served << "\n";
         plot << "\n\n";
     }
+    if (!ask.order.empty()) return result;
+    // What membership costs at this size, and how well it knows, over links that lose a fifth.
+    const Result talk = run_membership(ask);
+    for (const std::string& what : talk.violations) result.violations.push_back(what);
+    for (const auto& [name, value] : talk.figures) {
+        const std::string lossy = "lossy_";
+        if (name.starts_with(lossy)) result.figures.emplace_back(name.substr(lossy.size()), value);
+    }
     return result;
 }
 
