Kill processes around their writes to disk, before and after each is there

Need: `kills` killed at random and in turn only; between the record of an intent and its first byte, and between an answer and its record, a process was never killed on purpose.

Change: the laboratory's disk layer ends its process at a drawn sync, of an odd number before anything of it is on disk, of an even one after; each life dies so.

--- a/lab/broken/lossy_disk.cpp
+++ b/lab/broken/lossy_disk.cpp
@@ -3,6 +3,7 @@
 #include <sqlite3.h>
 
 #include <algorithm>
+#include <csignal>
 #include <cstring>
 #include <new>
 #include <random>
@@ -24,6 +25,7 @@
     LossyDisk disk;
     std::mt19937_64 random;
     sqlite3_vfs* base = nullptr;
+    std::uint64_t syncs = 0;
     sqlite3_vfs vfs{};
     sqlite3_io_methods methods{};
     bool chance(double part) { return static_cast<double>(random() >> 11) * 0x1p-53 < part; }
@@ -118,8 +120,13 @@
 int sync_file(sqlite3_file* file, int flags) {
     if (state().disk.lies) return SQLITE_OK;
     File& own = file_of(file);
+    const bool dies = ++state().syncs == state().disk.dies_at;
+    if (dies && state().syncs % 2 == 1) std::raise(SIGKILL);
     const int code = flush(own);
-    return code == SQLITE_OK ? own.real()->pMethods->xSync(own.real(), flags) : code;
+    if (code != SQLITE_OK) return code;
+    const int synced = own.real()->pMethods->xSync(own.real(), flags);
+    if (dies) std::raise(SIGKILL);
+    return synced;
 }
 
 int lock_file(sqlite3_file* file, int how) {
--- a/lab/model/ledger.h
+++ b/lab/model/ledger.h
@@ -111,6 +111,12 @@
     Viewed* find(SessionId id);
     int holder(SessionId id) const;
     void work_came(int server, double now);
+    // Set-ups whose connection was lost: a death of their process may be noticed a little later.
+    struct Lost {
+        SessionId id = 0;
+        double at = 0;
+    };
+    bool excuse(const Lost& lost);
     bool late(SessionId id, int server, double since, double due, double now) const {
         return late(id, server, since, since, due, now);
     }
@@ -124,6 +130,7 @@
     std::map<int, std::deque<double>> work_;  // that came to cold servers
     Troubles servers_, stopped_, unreached_, links_, stalls_;
     std::map<int, std::vector<double>> deaths_;
+    std::vector<Lost> lost_;
     SessionId followed_ = 0;
     std::function<void(int)> falls_;
     Sums sums_;
--- a/lab/run/kills.h
+++ b/lab/run/kills.h
@@ -12,6 +12,9 @@
     double every_s = 0.5;
     bool remembers = true;
     bool all = false;  // power fails for all of them, each time
+    // They die around their writes to disk, so many of them: between the record of an intent and its first
+    // byte, and between an answer and its record.
+    bool at_syncs = false;
 };
 Result play_kills(const KillsPlan& plan, const std::string& program, const std::string& folder);
 
--- a/lab/run/socket_world.cpp
+++ b/lab/run/socket_world.cpp
@@ -186,6 +186,9 @@
     if (!options_.broken.empty()) variables.emplace_back("JASPERSPREAD_BREAK", options_.broken);
     if (options_.lossy_disk)
         variables.emplace_back("JASPERSPREAD_LOSSY", std::to_string(plan_.seed * 1000 + ++disk_starts_));
+    constexpr std::uint64_t dies_from = 12, dies_over = 120;  // syncs; the first are those of its start
+    if (options_.dies_at_syncs)
+        variables.emplace_back("JASPERSPREAD_DIES", std::to_string(dies_from + random_() % dies_over));
     own.process->start(options_.program,
                        {own.folder + "/config.json", "--operator", own.folder + "/operator.yaml"}, variables);
     own.up = own.asked_to_end = own.stopped = false;
@@ -195,6 +198,11 @@
     Slot& own = slot(agent);
     if (!own.process->started()) return;
     if (!own.process->runs()) {
+        constexpr int killed = 128 + SIGKILL;
+        if (options_.dies_at_syncs && own.process->status() == killed) {
+            ++deaths_at_syncs_;
+            return gone(agent, false, agent_starts_after_s);
+        }
         if (own.process->status() != 0 || !own.asked_to_end)
             ledger_.violate("agent " + std::to_string(agent) + " ended with status " +
                                 std::to_string(own.process->status()),
--- a/lab/run/socket_world.h
+++ b/lab/run/socket_world.h
@@ -18,12 +18,13 @@
 namespace lab {
 
 struct SocketOptions {
-    std::string program;      // the agent to start
-    std::string folder;       // an empty one for its files
-    bool relayed = false;     // relays between agents and servers, and agents and viewers
-    double delay_s = 0.0002;  // of a relay, one way, and as much again by chance
-    std::string broken = "";  // for the broken program: how (lab/broken)
-    bool lossy_disk = false;  // of that program: a kill loses what was not synced, as a power loss does
+    std::string program;         // the agent to start
+    std::string folder;          // an empty one for its files
+    bool relayed = false;        // relays between agents and servers, and agents and viewers
+    double delay_s = 0.0002;     // of a relay, one way, and as much again by chance
+    std::string broken = "";     // for the broken program: how (lab/broken)
+    bool lossy_disk = false;     // of that program: a kill loses what was not synced, as a power loss does
+    bool dies_at_syncs = false;  // and each life of it dies by itself around one of its writes to disk
 };
 
 class SocketWorld final : public World {
@@ -60,6 +61,7 @@
     Ledger& ledger() override { return ledger_; }
     Viewers& viewers(int agent) override { return *slot(agent).viewers; }
     LessonServer* server(int number) { return servers_[static_cast<std::size_t>(number)].get(); }
+    int deaths_at_syncs() const { return deaths_at_syncs_; }
     AgentProcess& process(int agent) { return *slot(agent).process; }
 
 private:
@@ -99,6 +101,7 @@
     std::vector<Slot> agents_;
     std::mt19937_64 random_;
     std::uint64_t server_starts_ = 0, disk_starts_ = 0;
+    int deaths_at_syncs_ = 0;
     jasperspread::net::Timer ticker_;
     double ticked_ = 0;
 };
--- a/tests/lab/processes_test.cpp
+++ b/tests/lab/processes_test.cpp
@@ -334,6 +334,13 @@
     CHECK_LT(figure(1, "ghost_s"), 0.7 * figure(0, "ghost_s"));
 }
 
+TEST_CASE("processes: killed around their writes, before and after each is on disk, nothing is sent twice") {
+    Folder folder;
+    const Result played = play_kills({4, 3, 8, 2.5, true, false, true}, JASPERSPREAD_BROKEN, folder.path);
+    CHECK_EQ(played.violations.empty() ? "" : played.violations.front(), "");
+    CHECK_GE(played.figures.front().second, 2);  // deaths
+}
+
 TEST_CASE("processes: power fails for all at once, and their disks lose what was not synced") {
     Folder folder;
     const Result played = play_kills({2, 3, 4, 2.5, true, true}, JASPERSPREAD_BROKEN, folder.path);
