Believe that everything lost power only once all have told or the wait is over

Seen: in one of three full runs a process test waited in vain for `scope is=building`. Its log and the words of ScopeFinder: two of three had answered, the one that lost power with it and one whose machine had booted a moment before, so that most had told and nobody had kept power. Excluded: lost datagrams (none in that test), the third agent's answer (it came, after the verdict). To blame: ScopeFinder::settled, which took most of the answers for enough whatever they said.

--- a/src/recovery/scope.cpp
+++ b/src/recovery/scope.cpp
@@ -23,9 +23,13 @@
     heard_[peer] = {age.zone, age.machine_s > (now - up_since_) + set_.spread_s};
 }
 
+// That somebody kept power is proved by one answer; that nobody did is believed only once all have told or
+// the wait is over, as it costs most where it is wrong.
 bool ScopeFinder::settled(double now) const {
-    return same_boot_ || 2 * heard_.size() > peers_known_ || heard_.size() >= set_.enough ||
-           now >= began_ + set_.wait_s;
+    if (same_boot_ || now >= began_ + set_.wait_s) return true;
+    if (peers_known_ > 0 && heard_.size() >= peers_known_) return true;
+    const bool most = 2 * heard_.size() > peers_known_ || heard_.size() >= set_.enough;
+    return most && scope() != Scope::All;
 }
 
 Scope ScopeFinder::scope() const {
--- a/tests/recovery/stages_test.cpp
+++ b/tests/recovery/stages_test.cpp
@@ -187,3 +187,16 @@
     CHECK(finder.settled(100.5));
     CHECK_EQ(finder.scope(), Scope::Building);
 }
+
+TEST_CASE("scope: that all died is believed only once all have told, or the wait is over") {
+    ScopeFinder finder({6, 3, 4}, "a", "new", "old", 1, 3, 100);
+    finder.told("n1", {"b", 1}, 100.5);
+    finder.told("n2", {"a", 1}, 100.5);
+    CHECK_FALSE(finder.settled(100.5));  // most have, but one may have kept power
+    ScopeFinder waited = finder;
+    CHECK(waited.settled(103));
+    CHECK_EQ(waited.scope(), Scope::All);
+    finder.told("n3", {"b", 500}, 100.6);
+    CHECK(finder.settled(100.6));
+    CHECK_EQ(finder.scope(), Scope::Building);
+}
