Ask in one place who is there, which class is paid and which boot it is

Need: read once more, the change had written again what stood elsewhere: the loop over members who are there (three places), the check for a paid class (three), the rule for the same boot (Comeback beside ScopeFinder), the look-up of a figure by its name (four).

Change: Membership::there, agent::is_paid, ScopeFinder::same_boot, lab::figure, which throws for a name that there is not. Of others only what is used is kept; two accessors that nobody called are gone.

--- a/lab/run/common.cpp
+++ b/lab/run/common.cpp
@@ -2,9 +2,17 @@
 
 #include <algorithm>
 #include <cmath>
+#include <stdexcept>
 
 namespace lab {
 
+double figure(const Result& result, const std::string& name) {
+    for (const auto& [key, value] : result.figures) {
+        if (key == name) return value;
+    }
+    throw std::out_of_range("there is no figure " + name);
+}
+
 double part(std::vector<double> values, double which) {
     if (values.empty()) return 0;
     std::sort(values.begin(), values.end());
--- a/lab/run/common.h
+++ b/lab/run/common.h
@@ -11,7 +11,8 @@
 
 namespace lab {
 
-double part(std::vector<double> values, double which);  // the quantile; 0 where there are none
+double figure(const Result& result, const std::string& name);  // throws std::out_of_range
+double part(std::vector<double> values, double which);         // the quantile; 0 where there are none
 void add_ledger(Result& result, const Ledger& ledger, const std::string& where);
 double worth_part(const Ledger& ledger);  // earned, of what was wanted
 // Arrivals that would fill this part of all links at the middle rate.
--- a/lab/run/power_loss.cpp
+++ b/lab/run/power_loss.cpp
@@ -149,8 +149,9 @@
         for (const auto& [one, some] : times) list.insert(list.end(), some.begin(), some.end());
         return list;
     };
-    const auto part_of = [](double some, double whole) { return whole > 0 ? some / whole : 1.0; };
-    double lost_outcomes = static_cast<double>(sums.lost - sums.excused);
+    const auto part_of = [](auto some, auto whole) {
+        return whole > 0 ? static_cast<double>(some) / static_cast<double>(whole) : 1.0;
+    };
     run.result.figures = {
         {"processes", world.plan().agents},
         {"power_losses", losses},
@@ -158,13 +159,11 @@
         {"asked", static_cast<double>(sums.asked)},
         {"answered", static_cast<double>(sums.answered)},
         {"sessions_claimed", static_cast<double>(all.claims)},
-        {"sessions_recovered_share",
-         1 - part_of(static_cast<double>(all.claims_lost),
-                     static_cast<double>(std::max<std::uint64_t>(1, all.claims)))},
+        {"sessions_recovered_share", part_of(all.claims - all.claims_lost, all.claims)},
         {"ghost_s", sums.ghost_s},
         {"duplicate_setups", static_cast<double>(sums.duplicate_setups)},
         {"double_payments", static_cast<double>(sums.double_payments)},
-        {"lost_outcomes", lost_outcomes},
+        {"lost_outcomes", static_cast<double>(sums.lost - sums.excused)},
         {"late_after_drain", static_cast<double>(sums.late_after_drain)},
         {"cold_pushed_over", static_cast<double>(sums.cold_pushed_over)},
         {"half_service_s", part(both(half), 0.5)},
@@ -175,8 +174,7 @@
         {"ninety_service_s_building", part(ninety[true], 0.5)},
         {"paid_served_share", part_of(paid_answered, paid_asked)},  // in the first 10 s of a return
         {"sent_cold", static_cast<double>(sums.sent_cold)},
-        {"repeat_amplification", part_of(static_cast<double>(all.asks),
-                                         static_cast<double>(std::max<std::uint64_t>(1, all.arrivals)))},
+        {"repeat_amplification", part_of(all.asks, all.arrivals)},
         {"worth", run.curve.kept()},
     };
     return run;
--- a/lab/run/power_loss_runs.cpp
+++ b/lab/run/power_loss_runs.cpp
@@ -13,13 +13,6 @@
 namespace lab {
 namespace {
 
-double figure(const Result& result, const std::string& name) {
-    for (const auto& [key, value] : result.figures) {
-        if (key == name) return value;
-    }
-    return 0;
-}
-
 WorldPlan fleet_plan(std::uint64_t seed, int agents) {
     WorldPlan plan;
     plan.seed = seed;
--- a/src/agent/comeback.cpp
+++ b/src/agent/comeback.cpp
@@ -16,10 +16,6 @@
 // What another one told of itself is old after so long, s.
 constexpr double heard_lives_s = 2.0;
 
-bool same_boot(const RecoveryOrder& order) {
-    return !order.boot.empty() && order.boot == order.boot_before;
-}
-
 std::string zone_of(const Profile& profile) {
     const auto zone = profile.settings.zone;
     return zone && *zone < profile.zone_names.size() ? profile.zone_names[*zone] : "";
@@ -35,7 +31,7 @@
 
 // A machine that has been up for longer than machines come back in did not lose power just now.
 bool is_young(const RecoveryOrder& order) {
-    return !same_boot(order) && order.machine_s <= 2 * order.settings.spread_s;
+    return order.machine_s <= 2 * order.settings.spread_s;
 }
 
 }  // namespace
@@ -53,7 +49,7 @@
       scope_(scope_settings(order.settings), zone_of(profile), order.boot, order.boot_before, order.machine_s,
              others_there_are(profile), loop.now()),
       stages_(order.settings, recovery::order_named(order.settings.order).value_or(recovery::Order::Off),
-              is_young(order), loop.now()),
+              !scope_.same_boot() && is_young(order), loop.now()),
       paid_(loop.now()),
       rest_(loop.now()),
       settled_(!order.asks_scope && stages_.stage() == Stage::Ordinary),
@@ -102,7 +98,7 @@
     }
     if (!settled_) scope_.told(by, {told.zone, told.machine_s}, loop_.now());
     if (stages_.stage() == Stage::Ordinary && settled_) return;  // nothing is kept of them then
-    others_[by] = {told, loop_.now()};
+    others_[by] = {told.pressed, loop_.now()};
 }
 
 double Comeback::others_pressed() const {
@@ -110,17 +106,14 @@
     for (const auto& [name, other] : others_) {
         if (loop_.now() > other.heard + heard_lives_s) continue;
         heard += 1;
-        pressed += other.status.pressed ? 1 : 0;
+        pressed += other.pressed ? 1 : 0;
     }
     return heard > 0 ? pressed / heard : 0;
 }
 
 void Comeback::hail() {
     if (peers_ == nullptr) return;
-    std::vector<fleet::Name> there;
-    for (const auto& [name, member] : peers_->membership().members()) {
-        if (member.word.health <= fleet::Health::Suspect) there.push_back(name);
-    }
+    std::vector<fleet::Name> there = peers_->membership().there();
     std::shuffle(there.begin(), there.end(), random_);
     std::stable_partition(there.begin(), there.end(),
                           [this](const fleet::Name& name) { return !others_.contains(name); });
@@ -153,8 +146,7 @@
         stays_away_ = !ordinary;
         cinderfront::Allowance allowance;
         for (const auto& cls : profile_.settings.classes) {
-            const bool paid = cls.semantics == cinderfront::Semantics::NonIdempotent;
-            if (!ordinary) allowance.per_s.push_back(paid ? let.paid : let.rest);
+            if (!ordinary) allowance.per_s.push_back(is_paid(cls) ? let.paid : let.rest);
         }
         allowance.stay_away = ordinary ? 0 : set_.stay_away_s;
         tells_.allow(allowance);
--- a/src/agent/comeback.h
+++ b/src/agent/comeback.h
@@ -46,11 +46,10 @@
 
     void talk(Peers& peers);
     recovery::Stage stage() const { return stages_.stage(); }
-    double began() const { return began_; }
 
 private:
     struct Other {
-        fleet::Status status;
+        bool pressed = false;
         double heard = 0;
     };
     fleet::Status status();
--- a/src/agent/keeper.cpp
+++ b/src/agent/keeper.cpp
@@ -55,8 +55,7 @@
     const auto& names = profile_.class_names;
     const auto it = std::find(names.begin(), names.end(), plain_name(class_name));
     return it != names.end() &&
-           profile_.settings.classes[static_cast<std::size_t>(it - names.begin())].semantics ==
-               cinderfront::Semantics::NonIdempotent;
+           agent::is_paid(profile_.settings.classes[static_cast<std::size_t>(it - names.begin())]);
 }
 
 store::SessionRecord Keeper::record_of(SessionId id, const Kept& kept, Phase phase) const {
--- a/src/agent/returner.cpp
+++ b/src/agent/returner.cpp
@@ -130,12 +130,7 @@
 }
 
 std::vector<std::string> Returner::others() const {
-    std::vector<std::string> there;
-    if (peers_ == nullptr) return there;
-    for (const auto& [name, member] : peers_->membership().members()) {
-        if (member.word.health <= fleet::Health::Suspect) there.push_back(name);
-    }
-    return there;
+    return peers_ == nullptr ? std::vector<std::string>{} : peers_->membership().there();
 }
 
 void Returner::turn() {
--- a/src/agent/session_table.cpp
+++ b/src/agent/session_table.cpp
@@ -68,9 +68,7 @@
 
 SessionTable::Flow& SessionTable::flow_of(const Session& session) {
     const auto cls = session.asked.request.cls;
-    const bool paid = cls < settings_.classes.size() &&
-                      settings_.classes[cls].semantics == cinderfront::Semantics::NonIdempotent;
-    return flows_[paid ? 1 : 0];
+    return flows_[cls < settings_.classes.size() && is_paid(settings_.classes[cls]) ? 1 : 0];
 }
 
 void SessionTable::drop_deadline(net::Deadlines::Key& key) {
--- a/src/agent/settings.h
+++ b/src/agent/settings.h
@@ -53,6 +53,11 @@
     std::uint32_t streams_per_conn = 0;
 };
 
+// Of a class whose set-ups are never sent twice once they may have run.
+inline bool is_paid(const cinderfront::ClassSettings& cls) {
+    return cls.semantics == cinderfront::Semantics::NonIdempotent;
+}
+
 using PathValues = std::map<std::string, std::string, std::less<>>;  // lists joined with commas
 PathValues pairs_from_line(std::string_view pairs);                  // path=value path=value
 PathValues pairs_from_json(const nlohmann::json& settings);          // the same, nested
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -60,6 +60,14 @@
            }));
 }
 
+std::vector<Name> Membership::there() const {
+    std::vector<Name> names;
+    for (const auto& [name, member] : members_) {
+        if (member.word.health <= Health::Suspect) names.push_back(name);
+    }
+    return names;
+}
+
 double Membership::period() const {
     return set_.probe_every_s * (1 + sickness_);
 }
@@ -265,9 +273,7 @@
             const auto it = members_.find(name);
             if (it != members_.end() && it->second.word.health <= Health::Suspect) return name;
         }
-        for (const auto& [name, member] : members_) {
-            if (member.word.health <= Health::Suspect) round_.push_back(name);
-        }
+        round_ = there();
         std::shuffle(round_.begin(), round_.end(), random_);
     }
     return std::nullopt;
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -60,7 +60,8 @@
     const Word& self() const { return self_; }
     bool retired() const { return retired_; }
     const std::map<Name, Member>& members() const { return members_; }  // without ourselves
-    std::size_t present() const;                                        // alive or suspected, with ourselves
+    std::vector<Name> there() const;                                    // alive or suspected, in order
+    std::size_t present() const;                                        // those, counted with ourselves
     std::vector<Event> take_events() { return std::exchange(events_, {}); }
     // Tokens of lives that are over and forgotten: the seal need not remember them.
     std::vector<std::uint64_t> take_forgotten() { return std::exchange(forgotten_, {}); }
--- a/src/recovery/scope.h
+++ b/src/recovery/scope.h
@@ -38,7 +38,7 @@
     bool settled(double now) const;
     Scope scope() const;
     std::size_t answers() const { return heard_.size(); }
-    bool heard(const std::string& peer) const { return heard_.contains(peer); }
+    bool same_boot() const { return same_boot_; }
 
 private:
     struct Heard {
--- a/tests/lab/processes_test.cpp
+++ b/tests/lab/processes_test.cpp
@@ -316,42 +316,32 @@
     "processes: killed in turn, claims are kept, nothing is sent twice, nobody's sessions are released") {
     Folder folder;
     Result played[2];
-    const auto figure = [&](int which, const std::string& name) {
-        for (const auto& [key, value] : played[which].figures) {
-            if (key == name) return value;
-        }
-        return -1.0;
-    };
     for (const int remembers : {0, 1}) {
         const std::string own = folder.path + "/" + std::to_string(remembers);
         std::filesystem::create_directory(own);
         played[remembers] = play_kills({1, 3, 6, 2.5, remembers == 1}, JASPERSPREAD_SOUND, own);
         CHECK_EQ(played[remembers].violations, std::vector<std::string>{});
     }
-    CHECK_GT(figure(1, "claimed"), 10);
-    CHECK_EQ(figure(1, "duplicate_setups"), 0);
-    CHECK_GE(figure(1, "settled"), 3);  // each at least in its last life
-    CHECK_LT(figure(1, "ghost_s"), 0.7 * figure(0, "ghost_s"));
+    CHECK_GT(figure(played[1], "claimed"), 10);
+    CHECK_EQ(figure(played[1], "duplicate_setups"), 0);
+    CHECK_GE(figure(played[1], "settled"), 3);  // each at least in its last life
+    CHECK_LT(figure(played[1], "ghost_s"), 0.7 * figure(played[0], "ghost_s"));
 }
 
 TEST_CASE("processes: killed around their writes, before and after each is on disk, nothing is sent twice") {
     Folder folder;
     const Result played = play_kills({4, 3, 8, 2.5, true, false, true}, JASPERSPREAD_BROKEN, folder.path);
     CHECK_EQ(played.violations.empty() ? "" : played.violations.front(), "");
-    CHECK_GE(played.figures.front().second, 2);  // deaths
+    CHECK_GE(figure(played, "kills"), 2);  // deaths
 }
 
 TEST_CASE("processes: power fails for all at once, and their disks lose what was not synced") {
     Folder folder;
     const Result played = play_kills({2, 3, 4, 2.5, true, true}, JASPERSPREAD_BROKEN, folder.path);
     CHECK_EQ(played.violations, std::vector<std::string>{});
-    const auto figure = [&](const std::string& name) {
-        const auto is = [&](const auto& one) { return one.first == name; };
-        return std::find_if(played.figures.begin(), played.figures.end(), is)->second;
-    };
-    CHECK_GT(figure("claimed"), 10);
-    CHECK_EQ(figure("duplicate_setups"), 0);
-    CHECK_GE(figure("settled"), 3);
+    CHECK_GT(figure(played, "claimed"), 10);
+    CHECK_EQ(figure(played, "duplicate_setups"), 0);
+    CHECK_GE(figure(played, "settled"), 3);
 }
 
 namespace {
@@ -446,19 +436,13 @@
     PowerPlan plan{3, 1, 2, 1, 7, 10, 5, 0.2, false};
     const PowerRun run = play_power(*back.world, plan);
     CHECK_EQ(run.result.violations.empty() ? "" : run.result.violations.front(), "");
-    const auto figure = [&](const std::string& name) {
-        for (const auto& [key, value] : run.result.figures) {
-            if (key == name) return value;
-        }
-        return -1.0;
-    };
-    CHECK_EQ(figure("power_losses"), 3);
-    CHECK_GT(figure("sessions_claimed"), 10);
-    CHECK_EQ(figure("sessions_recovered_share"), 1);
-    CHECK_EQ(figure("duplicate_setups"), 0);
-    CHECK_EQ(figure("lost_outcomes"), 0);
-    CHECK_EQ(figure("cold_pushed_over"), 0);
-    CHECK_GT(figure("worth"), 0.3);
+    CHECK_EQ(figure(run.result, "power_losses"), 3);
+    CHECK_GT(figure(run.result, "sessions_claimed"), 10);
+    CHECK_EQ(figure(run.result, "sessions_recovered_share"), 1);
+    CHECK_EQ(figure(run.result, "duplicate_setups"), 0);
+    CHECK_EQ(figure(run.result, "lost_outcomes"), 0);
+    CHECK_EQ(figure(run.result, "cold_pushed_over"), 0);
+    CHECK_GT(figure(run.result, "worth"), 0.3);
 }
 
 TEST_CASE("broken process: a paid set-up sent again after a restart") {
