Send nothing for a viewer who left, though its set-up was still unread

What was seen: with the program held by SIGSTOP while viewers sent and closed, three kinds of attempts went out afterwards (START at the server in each): set-ups read from a connection that had already ended (Connection::read gave the owner each piece before it looked for the end behind it), set-ups read together with their own release (ViewerSide::take acted on one message at a time), and set-ups that waited for a connection or got their refusal in the same turn as the viewer's close, where the server's descriptor had the lower number (Loop::turn met descriptors by number). A drain in the same turn as a set-up lost the race in the same way. Excluded: the queue and the connect itself, which are called off as soon as the close is seen.

Change: a connection takes in all that a buffer holds before its owner gets any of it, and asks poll for POLLRDHUP, so that an end behind more bytes than a buffer is known too; set-ups of a viewer who has left, or has released them right behind, are not taken; in one turn the feed comes first, then viewers, then servers.

--- a/lab/sim/network.cpp
+++ b/lab/sim/network.cpp
@@ -213,6 +213,7 @@
     if (socket.phase == Phase::Datagrams) return socket.datagrams.empty() ? 0 : POLLIN;
     if (socket.phase != Phase::Up) return 0;
     if (!socket.in.empty() || socket.in_ended) events |= POLLIN;
+    if (socket.in_ended) events |= POLLRDHUP;
     if (socket.reset) events |= POLLIN | POLLERR | POLLHUP;
     if (socket.in_flight < window && !socket.out_ended) events |= POLLOUT;
     return static_cast<short>(events);
--- a/src/agent/feed_client.cpp
+++ b/src/agent/feed_client.cpp
@@ -44,7 +44,8 @@
 void FeedClient::connect() {
     connected_ = 0;
     parser_.emplace();
-    connection_ = std::make_shared<net::Connection>(loop_, pool_, *this, feed_, connect_timeout_s);
+    connection_ =
+        std::make_shared<net::Connection>(loop_, pool_, *this, feed_, connect_timeout_s, net::Order::Early);
 }
 
 void FeedClient::wait_for_words() {
--- a/src/agent/server_connections.cpp
+++ b/src/agent/server_connections.cpp
@@ -30,7 +30,7 @@
       used(all.loop_.now()),
       all_(all),
       patience_(all.loop_),
-      connection(all.loop_, all.pool_, *this, address, all.limits_.connect_timeout) {}
+      connection(all.loop_, all.pool_, *this, address, all.limits_.connect_timeout, net::Order::Late) {}
 
 void ServerConnections::Link::opened(Connection&) {
     Server& at = all_.server(server);
--- a/src/agent/viewer_side.cpp
+++ b/src/agent/viewer_side.cpp
@@ -110,7 +110,7 @@
                 taken += decoded->size;
                 spoke = true;
                 patience_.cancel();
-                side_.take(*this, decoded->message);
+                side_.take(*this, decoded->message, bytes.substr(taken));
             }
         } catch (const codec::CodecError& error) {
             side_.log_.warn("viewer_unreadable", {{"why", error.what()}});
@@ -210,9 +210,13 @@
     peer.connection.finish();
 }
 
-void ViewerSide::take(Peer& peer, const ViewerMessage& message) {
+void ViewerSide::take(Peer& peer, const ViewerMessage& message, std::string_view behind) {
     if (message.is(ViewerType::SetUp)) {
-        take_set_up(peer, message);
+        // Guards against set-ups that were called off before they were read, by a close or a release right
+        // behind: the program may have stood still, or the connection waited to be accepted. Nobody wants the
+        // answer, and no server is to hear of it.
+        const bool wanted = !peer.connection.peer_left() && !codec::releases(behind, message.session);
+        take_set_up(peer, message, wanted);
     } else if (message.is(ViewerType::Release)) {
         peer.connection.send(encode(word(ViewerType::ReleaseHeard, message.session)));
         const auto it = asked_on_.find(message.session);
@@ -232,7 +236,7 @@
     }
 }
 
-void ViewerSide::take_set_up(Peer& peer, const ViewerMessage& message) {
+void ViewerSide::take_set_up(Peer& peer, const ViewerMessage& message, bool wanted) {
     const SessionId id = message.session;
     SetUp set_up;
     try {
@@ -241,6 +245,8 @@
         // The message is whole but asks what nobody can do: refused, as nothing has run.
         return turn_away(peer, id, cause_refused, error.what());
     }
+    // What plays already wants no answer, and belongs to no connection.
+    if (!wanted && !set_up.playing_at) return;
     const bool fresh = remember(id);
     if (set_up.playing_at) return events_.set_up(set_up);
     // Guards against a set-up under the number of another one that is open or stands: its answer must go
--- a/src/agent/viewer_side.h
+++ b/src/agent/viewer_side.h
@@ -49,8 +49,8 @@
 
     void accepted(net::Fd fd);
     bool make_room();
-    void take(Peer& peer, const codec::ViewerMessage& message);
-    void take_set_up(Peer& peer, const codec::ViewerMessage& message);
+    void take(Peer& peer, const codec::ViewerMessage& message, std::string_view behind);
+    void take_set_up(Peer& peer, const codec::ViewerMessage& message, bool wanted);
     void turn_away(Peer& peer, SessionId id, std::uint8_t cause, const char* why);
     bool remember(SessionId id);
     void peer_ended(Peer& peer);
--- a/src/codec/viewer_codec.cpp
+++ b/src/codec/viewer_codec.cpp
@@ -139,6 +139,19 @@
     return decoded;
 }
 
+bool releases(std::string_view bytes, std::uint64_t session) {
+    while (bytes.size() >= length_size + head_size) {
+        Reader reader(bytes);
+        const std::size_t length = reader.number(length_size);
+        if (length < head_size || bytes.size() < length_size + length) return false;
+        const std::uint64_t type = reader.number(1);
+        const bool is_release = type == static_cast<std::uint64_t>(ViewerType::Release);
+        if (is_release && reader.number(session_size) == session) return true;
+        bytes.remove_prefix(length_size + length);
+    }
+    return false;
+}
+
 std::string encode(const ViewerMessage& message) {
     std::string body;
     put(body, message.type, 1);
--- a/src/codec/viewer_codec.h
+++ b/src/codec/viewer_codec.h
@@ -36,6 +36,8 @@
 
 // The first whole message of `bytes`; nullopt when more must come. Throws CodecError.
 std::optional<Decoded<ViewerMessage>> decode_viewer(std::string_view bytes);
+// Whether a whole release of this session is among the messages that `bytes` begins with.
+bool releases(std::string_view bytes, std::uint64_t session);
 // Throws CodecError (Oversized) when the message would pass the limit.
 std::string encode(const ViewerMessage& message);
 
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -17,12 +17,14 @@
     watch();
 }
 
-Connection::Connection(Loop& loop, BufferPool& pool, Owner& owner, const Address& to, double connect_timeout)
+Connection::Connection(Loop& loop, BufferPool& pool, Owner& owner, const Address& to, double connect_timeout,
+                       Order order)
     : loop_(loop),
       pool_(pool),
       owner_(owner),
       fd_(loop.kernel().open_stream(), &loop.kernel()),
       state_(State::Connecting),
+      order_(order),
       timer_(loop),
       stall_(loop) {
     start_connect(to, connect_timeout);
@@ -40,7 +42,7 @@
 void Connection::watch() {
     if (!fd_) return;
     const bool write = state_ == State::Connecting || !out_.empty() || wants_writable_;
-    loop_.watch(fd_.get(), static_cast<short>(POLLIN | (write ? POLLOUT : 0)), *this);
+    loop_.watch(fd_.get(), static_cast<short>(POLLIN | POLLRDHUP | (write ? POLLOUT : 0)), *this, order_);
 }
 
 void Connection::connected() {
@@ -54,29 +56,49 @@
 
 void Connection::ready(short events) {
     if (state_ == State::Connecting) return connected();
+    constexpr short left = POLLRDHUP | POLLHUP | POLLERR;
+    if ((events & left) != 0) peer_left_ = true;
     if ((events & POLLOUT) != 0) flush();
-    if (state_ != State::Closed && (events & (POLLIN | POLLHUP | POLLERR)) != 0) read();
+    if (state_ != State::Closed && (events & (POLLIN | left)) != 0) read();
 }
 
 bool Connection::has_unread() const {
     return fd_ && loop_.kernel().unread(fd_.get()) > 0;
 }
 
+// Takes in all that a buffer holds before the owner is given any of it: an end that came right behind must be
+// known before what it calls off is begun.
+Connection::Input Connection::fill() {
+    while (in_->room() > 0) {
+        const ssize_t got = loop_.kernel().receive(fd_.get(), in_->bytes.data() + in_->end, in_->room());
+        if (got == -EINTR) continue;
+        if (got == -EAGAIN) return Input::Taken;
+        if (got <= 0) peer_left_ = true;
+        if (got < 0) return Input::Broken;
+        if (got == 0) return Input::Ended;
+        in_->end += static_cast<std::size_t>(got);
+    }
+    return Input::More;
+}
+
 void Connection::read() {
     for (int i = 0; i < reads_a_turn && state_ != State::Closed; ++i) {
         if (!in_) in_ = pool_.lease();
         in_->close_up();
-        const ssize_t got = loop_.kernel().receive(fd_.get(), in_->bytes.data() + in_->end, in_->room());
-        if (got == -EINTR) continue;
-        if (got == -EAGAIN) break;
-        if (got < 0) return end(state_ == State::Finishing ? End::Finished : End::Reset);
-        if (got == 0) return end(state_ == State::Finishing ? End::Finished : End::PeerClosed);
-        in_->end += static_cast<std::size_t>(got);
-        const std::size_t taken = owner_.received(*this, in_->held());
-        if (state_ == State::Closed) return;
-        in_->drop(taken);
+        const std::size_t before = in_->end;
+        const Input input = fill();
+        if (in_->end > before) {
+            const std::size_t taken = owner_.received(*this, in_->held());
+            if (state_ == State::Closed) return;
+            in_->drop(taken);
+        }
+        if (input == Input::Ended || input == Input::Broken) {
+            const bool own = state_ == State::Finishing;
+            return end(own ? End::Finished : input == Input::Broken ? End::Reset : End::PeerClosed);
+        }
         // An owner takes or rejects all that fits a buffer; one that does neither would hang here.
         if (in_->begin == 0 && in_->room() == 0) return end(End::Overflow);
+        if (input == Input::Taken) break;
     }
     if (in_ && in_->begin == in_->end) in_.reset();
 }
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -35,7 +35,8 @@
     };
 
     Connection(Loop& loop, BufferPool& pool, Owner& owner, Fd accepted);
-    Connection(Loop& loop, BufferPool& pool, Owner& owner, const Address& to, double connect_timeout);
+    Connection(Loop& loop, BufferPool& pool, Owner& owner, const Address& to, double connect_timeout,
+               Order order = Order::Usual);
     ~Connection() { close(); }
     Connection(const Connection&) = delete;
     Connection& operator=(const Connection&) = delete;
@@ -43,6 +44,8 @@
     bool is_open() const { return state_ == State::Open; }
     Address peer() const { return loop_.kernel().peer_address(fd_.get()); }
     bool has_unread() const;  // bytes have come that the owner was not given yet
+    // The peer has closed or reset it, though what it sent before may still be on its way to the owner.
+    bool peer_left() const { return peer_left_; }
     // Sends, or keeps what the kernel does not take now; past the bound the connection ends with Overflow.
     void send(std::string_view bytes);
     // Sends only if the first byte can go out now; false: nothing was sent, writable() will tell.
@@ -54,9 +57,11 @@
 
 private:
     enum class State { Connecting, Open, Finishing, Closed };
+    enum class Input { Taken, More, Ended, Broken };  // More: the buffer is full
     void ready(short events) override;
     void start_connect(const Address& to, double connect_timeout);
     void connected();
+    Input fill();
     void read();
     void flush();
     void keep(std::string_view bytes);
@@ -70,6 +75,8 @@
     Owner& owner_;
     Fd fd_;
     State state_ = State::Open;
+    const Order order_ = Order::Usual;
+    bool peer_left_ = false;
     BufferPool::Lease in_;
     std::deque<BufferPool::Lease> out_;
     bool wants_writable_ = false;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -28,11 +28,12 @@
     }
 }
 
-void Loop::watch(int fd, short events, Ready& who) {
+void Loop::watch(int fd, short events, Ready& who, Order order) {
     auto [it, fresh] = watches_.try_emplace(fd);
     if (fresh) it->second.serial = ++serial_;
     it->second.events = events;
     it->second.who = &who;
+    it->second.order = order;
 }
 
 void Loop::turn(double longest_s) {
@@ -47,11 +48,15 @@
     const double wait = std::clamp(deadlines_.next() - now(), 0.0, longest_s);
     const int count = kernel_.poll(polled.data(), polled.size(), wait);
     if (count < 0) throw std::system_error(-count, std::generic_category(), "poll");
-    for (std::size_t i = 0; count > 0 && i < polled.size(); ++i) {
-        if (polled[i].revents == 0) continue;
-        const auto it = watches_.find(polled[i].fd);
-        // An earlier callback of this turn may have closed it, and a new one may have got its number.
-        if (it != watches_.end() && it->second.serial == serials[i]) it->second.who->ready(polled[i].revents);
+    for (const Order order : {Order::Early, Order::Usual, Order::Late}) {
+        for (std::size_t i = 0; count > 0 && i < polled.size(); ++i) {
+            if (polled[i].revents == 0) continue;
+            const auto it = watches_.find(polled[i].fd);
+            // An earlier callback of this turn may have closed it, and a new one may have got its number.
+            if (it == watches_.end() || it->second.serial != serials[i] || it->second.order != order)
+                continue;
+            it->second.who->ready(polled[i].revents);
+        }
     }
     deadlines_.sweep(now());
     retired_.clear();
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -22,6 +22,10 @@
     ~Ready() = default;
 };
 
+// In which order descriptors that are ready in the same turn are met, whatever their numbers: what may call
+// work off (a server drains, a viewer has left) comes before what would begin it.
+enum class Order { Early, Usual, Late };
+
 class Deadlines {
 public:
     using Key = std::pair<double, std::uint64_t>;  // when, and the order of adding
@@ -44,7 +48,7 @@
     Kernel& kernel() { return kernel_; }
     double now() { return kernel_.now(); }
     // Waits for `events` on a descriptor; replaces what was waited for before.
-    void watch(int fd, short events, Ready& who);
+    void watch(int fd, short events, Ready& who, Order order = Order::Usual);
     void forget(int fd) { watches_.erase(fd); }
     Deadlines& deadlines() { return deadlines_; }
     // Keeps an object alive until the turn is over, for owners that drop it inside one of its callbacks.
@@ -56,6 +60,7 @@
     struct Watch {
         short events = 0;
         Ready* who = nullptr;
+        Order order = Order::Usual;
         std::uint64_t serial = 0;  // tells a reused descriptor from the one that was polled
     };
     Kernel& kernel_;
--- /dev/null
+++ b/tests/scenarios/crossing_test.cpp
@@ -0,0 +1,142 @@
+// What crosses what: closes, signals and answers that come between two lines. SIGSTOP holds the program
+// still, so that all that crosses is there in one turn of its loop.
+#include <doctest/doctest.h>
+
+#include "scenario.h"
+
+using scenario::play;
+
+TEST_CASE("a viewer that left before its set-up was read: no server hears of it") {
+    CHECK_EQ(play(R"(
+        agent send start
+        stands 4                               # a connection to the server is open
+        v2 send test 1
+        v2 expect result 1
+        agent send stop
+        v2 send setup 5
+        v2 close
+        v3 send setup 6                        # not even accepted yet
+        v3 close
+        v4 send setup 7
+        v4 reset
+        wait 0.2
+        agent send go
+        s1 expect nothing 0.5
+    )"),
+             "");
+}
+
+TEST_CASE("a viewer that left behind more bytes than one read takes: no server hears of any set-up") {
+    std::string lines = R"(
+        agent send start
+        stands 4
+        v2 send test 1
+        v2 expect result 1
+        agent send stop
+    )";
+    for (int i = 10; i < 30; ++i) lines += "v2 send setup " + std::to_string(i) + " size=4000\n";
+    CHECK_EQ(play(lines + R"(
+        v2 close
+        wait 0.2
+        agent send go
+        s1 expect nothing 0.5
+    )"),
+             "");
+}
+
+TEST_CASE("a set-up that is read together with its own release is not sent") {
+    CHECK_EQ(play(R"(
+        agent send start
+        v1 send test 1
+        v1 expect result 1
+        agent send stop
+        v1 send setup 5
+        v1 send setup 6
+        v1 send release 5 cause=16
+        wait 0.2
+        agent send go
+        v1 expect heard 5
+        s1 expect START 6
+        s1 send STARTED 6
+        v1 expect answer 6
+        s1 expect nothing 0.3
+    )"),
+             "");
+}
+
+TEST_CASE("a viewer that left while its set-up waited for a connection, which comes up in the same turn") {
+    // The server's connection gets the lower descriptor, so that it is met first.
+    CHECK_EQ(play(R"(
+        agent send start connect=10
+        v9 send test 1
+        v9 expect result 1
+        v1 send test 1
+        v1 expect result 1
+        v9 close
+        wait 0.3
+        s1 deaf
+        v1 send setup 5 class=paid
+        wait 0.3
+        agent send stop
+        s1 hear
+        wait 1.5                               # the connection comes up
+        v1 close
+        wait 0.2
+        agent send go
+        s1 expect nothing 0.7
+    )"),
+             "");
+}
+
+TEST_CASE("a viewer that left while a server turned its set-up away: it is not tried again") {
+    CHECK_EQ(play(R"(
+        agent send start
+        v9 send test 1
+        v9 expect result 1
+        v1 send test 1
+        v1 expect result 1
+        v9 close
+        wait 0.3
+        v1 send setup 5 home=0 copies=1
+        s1 expect START 5
+        agent send stop
+        s1 send FINISH 5 rc=102
+        v1 close
+        wait 0.2
+        agent send go
+        s1 expect FINISH 5 rc=16
+        s1 expect nothing 0.5
+    )"),
+             "");
+}
+
+TEST_CASE("a server that drains in the turn in which a set-up comes gets nothing") {
+    // The feed's connection has a higher descriptor than the viewer's, which came while the feed was away:
+    // its pauses grow with each break.
+    CHECK_EQ(play(R"(
+        agent send start
+        stands 4
+        feed expect after=1
+        feed close
+        feed expect after=1
+        feed close
+        feed expect after=1
+        feed close
+        feed expect after=1
+        feed close
+        feed expect after=1
+        feed close
+        wait 0.1
+        v2 send test 1
+        v2 expect result 1
+        feed expect after=1
+        agent send stop
+        v2 send setup 5
+        feed send n=2 s1=draining
+        wait 0.2
+        agent send go
+        v2 expect release 5 cause=42
+        s1 expect nothing 0.2
+    )"),
+             "");
+}
--- a/tests/scenarios/scenario.cpp
+++ b/tests/scenarios/scenario.cpp
@@ -340,6 +340,8 @@
             {"term", SIGTERM}, {"stop", SIGSTOP}, {"go", SIGCONT}};
         if (verb == "send" && signals.contains(rest.at(0))) {
             ::kill(pid_, signals.at(rest.at(0)));
+            // What the next lines send must not be met by a program that is only about to stop.
+            if (rest.at(0) == "stop") ::waitpid(pid_, nullptr, WUNTRACED);
             return;
         }
         if (verb == "send" && rest.at(0) == "reload") {
