Lose no signal while starting and no set-up at the end; bring no server back by an old list

The listener closes first, taking in all who wait; they are heard and answered, and later ones are refused. - FeedClient::take applied any whole list, also one with an old number: a list told again brought removed servers back, and the event that had removed them counted as told. Only a list of a newer revision counts under an old number. - All agents lose the feed at one moment and came back in step (pauses 0.05 to 1 s, the same for all): half of each pause is drawn. - A connect that failed for want of a descriptor here (End::Unavailable) was told to the module as a failed connect: the server was taken for fallen and left alone for up to 8 s. Excluded: half messages at SIGTERM, a second SIGTERM, SIGHUP just before, idle clients that fill the descriptors while the feed is away: these held, and have tests now.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -65,8 +65,8 @@
                config_.directory, link_limits()),
       viewers_(loop, pool_, log, between_.from_viewers(sessions_), config_.profile, config_.listen,
                {viewers_most(config_), closing_most(config_)}),
-      feed_(loop, pool_, log, {config_.feed, config_.known_number}, config_.profile,
-            [this](const ListChange& change) { listed(change); }),
+      feed_(loop, pool_, log, {config_.feed, config_.known_number, config_.directory.revision()},
+            config_.profile, [this](const ListChange& change) { listed(change); }),
       wake_(loop) {
     if (keeper_) keeper_->connect(servers_);
     sessions_.connect(between_.to_viewers(viewers_), between_.to_servers(servers_side()));
@@ -143,7 +143,13 @@
 
 bool Agent::over() {
     if (term_at_ == 0) return false;
-    if (words_until_ == 0 && may_end()) {
+    // Guards against a set-up that has come on a connection nobody has accepted yet: it was taken, and must
+    // be answered. Those that wait are accepted and heard first, and nobody else can come any more.
+    const bool ends = words_until_ == 0 && may_end();
+    if (ends && closed_at_ == 0) {
+        viewers_.accept_no_more();
+        closed_at_ = loop_.now();
+    } else if (ends && loop_.now() >= closed_at_ + look_every) {
         log_.info("ends", {{"standing", std::to_string(sessions_.standing())}});
         sessions_.end_all();
         viewers_.finish();
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -67,7 +67,7 @@
     std::unique_ptr<Comeback> comeback_;  // where it comes back by stages, or others ask
     bool told_ = false;                   // by the feed, in this life
     net::Timer wake_;
-    double term_at_ = 0, words_until_ = 0, stay_most_ = 0;
+    double term_at_ = 0, closed_at_ = 0, words_until_ = 0, stay_most_ = 0;
 };
 
 }  // namespace jasperspread::agent
--- a/src/agent/feed_client.cpp
+++ b/src/agent/feed_client.cpp
@@ -13,6 +13,7 @@
 // A connection that held for less counts as another failure: the pauses go on growing, s.
 constexpr double held_s = 2.0;
 constexpr double connect_timeout_s = 0.5, first_pause_s = 0.05, longest_pause_s = 1.0;
+constexpr double least_part = 0.5;  // of a pause
 
 }  // namespace
 
@@ -24,9 +25,11 @@
       feed_(start.feed),
       profile_(profile),
       last_(start.last),
+      revision_(start.revision),
       told_(std::move(told)),
       silence_(loop),
       again_(loop),
+      random_(loop.kernel().random()),
       pause_(first_pause_s) {
     connect();
 }
@@ -83,8 +86,13 @@
     }
     for (const std::string& problem : change.unreadable)
         log_.warn("feed_member_passed_over", {{"why", problem}});
-    if (change.number <= last_ && !change.complete) return;  // told before
-    last_ = std::max(last_, change.number);
+    // Guards against a list that is told again, or by a feed that is behind: a server that has left since
+    // would be used again, and what took it away would count as told before. Only a list of a newer revision
+    // is news under an old number: its feed has begun to number anew.
+    const bool renumbered = change.complete && change.revision > revision_;
+    if (change.number <= last_ && !renumbered) return;
+    last_ = change.number;
+    revision_ = std::max(revision_, change.revision);
     told_(change);
 }
 
@@ -103,7 +111,9 @@
     log_.warn("feed_lost", {{"why", why}, {"after", std::to_string(last_)}});
     hang_up();
     if (connected_ > 0 && loop_.now() > connected_ + held_s) pause_ = first_pause_s;
-    again_.set(loop_.now() + pause_, [this] { connect(); });
+    // All agents lose the feed at one moment: none may come back in step with the others.
+    std::uniform_real_distribution<double> part(least_part, 1);
+    again_.set(loop_.now() + pause_ * part(random_), [this] { connect(); });
     pause_ = std::min(pause_ * 2, longest_pause_s);
 }
 
--- a/src/agent/feed_client.h
+++ b/src/agent/feed_client.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 
 #include "agent/directory.h"
 #include "agent/log.h"
@@ -21,7 +22,8 @@
     using Told = std::function<void(const ListChange&)>;
     struct Start {
         net::Address feed;
-        std::uint64_t last = 0;  // number of the last event told
+        std::uint64_t last = 0;      // number of the last event told
+        std::uint64_t revision = 0;  // of the list then; 0: not told
     };
     FeedClient(net::Loop& loop, net::BufferPool& pool, Log& log, const Start& start, const Profile& profile,
                Told told);
@@ -45,11 +47,12 @@
     Log& log_;
     net::Address feed_;
     const Profile& profile_;
-    std::uint64_t last_;
+    std::uint64_t last_, revision_;
     Told told_;
     std::optional<codec::FeedParser> parser_;
     std::shared_ptr<net::Connection> connection_;
     net::Timer silence_, again_;
+    std::mt19937_64 random_;
     double pause_, connected_ = 0;
 };
 
--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -115,7 +115,8 @@
         if (state == State::Written) {
             attempt_over(id, Ending::Dropped, {});
         } else if (state == State::Queued && never_up) {
-            attempt_over(id, Ending::DialFailed, {});
+            // That no descriptor was left here says nothing of the server.
+            attempt_over(id, why == Connection::End::Unavailable ? Ending::Unused : Ending::DialFailed, {});
         } else if (state == State::Queued) {
             // Not a byte of it has gone out: it may take another connection.
             const Attempt attempt = it->second.attempt;
--- a/src/agent/viewer_side.cpp
+++ b/src/agent/viewer_side.cpp
@@ -359,8 +359,10 @@
         return std::tuple(peer.proven, peer.spoke && peer.faults == 0, &peer != but, peer.used);
     };
     Peer* best = nullptr;
+    const double heard_by = loop_.now() - unheard_s;
     for (const auto& [key, peer] : peers_) {
-        if (!peer->connection.is_open()) continue;
+        // One that has only just come is about to speak.
+        if (!peer->connection.is_open() || (!peer->spoke && peer->used > heard_by)) continue;
         if (best == nullptr || rank(*peer) > rank(*best)) best = peer.get();
     }
     return best;
--- a/src/agent/viewer_side.h
+++ b/src/agent/viewer_side.h
@@ -30,6 +30,7 @@
 
     net::Address address() const { return listener_.address(); }
     std::size_t connections() const { return peers_.size(); }
+    void accept_no_more() { listener_.close(); }  // but those who wait already
     void finish();  // closes all connections in order, once what is kept for them is written
 
     void answered(SessionId id, const std::string& description) override;
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -45,4 +45,12 @@
     pause_.set(loop_.now() + pause_s, [this] { listen_again(); });
 }
 
+void Listener::close() {
+    if (!fd_) return;
+    ready(POLLIN);
+    loop_.forget(fd_.get());
+    pause_.cancel();
+    fd_.reset();
+}
+
 }  // namespace jasperspread::net
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -23,6 +23,8 @@
     Listener& operator=(const Listener&) = delete;
 
     Address address() const;  // with the port that the kernel gave
+    // Accepts those who wait already, as far as there is room, and no more: whoever comes later is refused.
+    void close();
 
 private:
     void ready(short events) override;
--- a/src/ops/program.cpp
+++ b/src/ops/program.cpp
@@ -154,6 +154,7 @@
     const auto command = read_command_line(argc, argv, status);
     if (!command) return status;
     try {
+        block_signals();
         agent::Config config = load_config(command->config);
         limit_descriptors(config.descriptors);
         serve(*command, std::move(config), between);
--- a/src/ops/signals.h
+++ b/src/ops/signals.h
@@ -7,9 +7,13 @@
 
 namespace jasperspread::ops {
 
+// Blocks the signals for the whole process: from here on they wait for whoever reads them. To be called
+// before anything else, as one that comes while the program starts would end it. Throws std::system_error.
+void block_signals();
+
 class Signals : private net::Ready {
 public:
-    // Throws std::system_error. The signals are blocked for the whole process from here on.
+    // Throws std::system_error. The signals are blocked already.
     Signals(net::Loop& loop, std::function<void(int)> told);
     ~Signals() { loop_.forget(fd_.get()); }
     Signals(const Signals&) = delete;
--- a/tests/scenarios/crossing_test.cpp
+++ b/tests/scenarios/crossing_test.cpp
@@ -140,3 +140,137 @@
     )"),
              "");
 }
+
+TEST_CASE("a signal that comes while the program reads its configuration waits until it serves") {
+    CHECK_EQ(play(R"(
+        agent send start early=hup
+        agent expect log=feed_moves
+        v1 send test 1
+        v1 expect result 1
+    )"),
+             "");
+    CHECK_EQ(play(R"(
+        agent send start early=term
+        agent expect log=asked
+        v1 send setup 5
+        s1 expect START 5
+        s1 send FINISH 5 rc=34
+        v1 expect release 5 cause=42
+        agent expect exit=0
+    )"),
+             "");
+}
+
+TEST_CASE("asked to end, the program still hears whoever waits to be accepted at its last moment") {
+    CHECK_EQ(play(R"(
+        agent send start
+        stands 4
+        agent send term
+        agent expect log=asked
+        agent send stop
+        v2 send setup 5                        # on a connection that nobody has accepted
+        s1 send FINISH 4 rc=16                 # nothing else keeps the program
+        wait 1.2
+        agent send go
+        s1 expect START 5
+        s1 send STARTED 5
+        v2 expect answer 5
+        s1 send FINISH 5 rc=16
+        v2 expect release 5
+        agent expect exit=0
+    )"),
+             "");
+}
+
+TEST_CASE("asked to end twice and told to reread before, half a message is still heard out") {
+    CHECK_EQ(play(R"(
+        agent send start
+        stands 4
+        v2 begin setup 5
+        agent send reload
+        agent send term
+        agent expect log=asked
+        agent send term
+        v2 complete
+        s1 expect START 5
+        s1 send STARTED 5
+        v2 expect answer 5
+        feed2 expect after=1
+        s1 send FINISH 4 rc=16
+        s1 send FINISH 5 rc=16
+        agent expect exit=0
+    )"),
+             "");
+}
+
+TEST_CASE("a list that is told again, or by a feed that is behind, brings no server back") {
+    CHECK_EQ(play(R"(
+        agent send start
+        feed expect after=1
+        feed send n=2 s1=removed
+        feed send n=1 complete=1               # the list of the start once more
+        wait 0.2
+        v1 send setup 5 home=0 copies=1
+        v1 expect release 5 cause=42
+        feed close
+        feed expect after=2
+        feed send n=2 complete=1 revision=1
+        wait 0.2
+        v1 send setup 6 home=0 copies=1
+        v1 expect release 6 cause=42
+        s1 expect nothing 0.2
+        feed send n=1 complete=1 revision=9    # a newer list, numbered anew
+        feed send n=2 s2=draining revision=10
+        wait 0.2
+        v1 send setup 7 home=0 copies=2
+        s1 expect START 7
+    )"),
+             "");
+}
+
+TEST_CASE(
+    "idle clients fill the descriptors while the feed is away: it is heard again, and viewers are served") {
+    std::string lines = R"(
+        agent send start sockets=64
+        feed expect after=1
+        feed deaf
+        feed close
+    )";
+    for (int i = 100; i < 220; ++i) lines += "v" + std::to_string(i) + " send raw=\n";
+    lines += R"(
+        wait 0.5
+    )";
+    for (int i = 300; i < 420; ++i) lines += "v" + std::to_string(i) + " send test 1\n";
+    CHECK_EQ(play(lines + R"(
+        feed hear
+        feed expect after=1
+        feed send n=2 s1=draining
+        wait 0.3
+        v1 send setup 5 home=0 copies=1
+        v1 expect release 5 cause=42
+        v1 send setup 6 home=1 copies=1
+        s2 expect START 6
+        s2 send STARTED 6
+        v1 expect answer 6
+    )"),
+             "");
+}
+
+TEST_CASE("that the program has no descriptor left speaks against no server") {
+    CHECK_EQ(play(R"(
+        agent send start
+        v1 send test 1
+        v1 expect result 1
+        agent send descriptors=6
+        v1 send setup 5 home=0 copies=1
+        v1 expect release 5 cause=42
+        agent send descriptors=256
+        v1 send setup 6 home=1 copies=1
+        s2 expect START 6
+        s2 send STARTED 6
+        v1 expect answer 6
+        v1 send setup 7 class=paid home=0 copies=2   # to the emptier one
+        s1 expect START 7
+    )"),
+             "");
+}
--- a/tests/scenarios/scenario.cpp
+++ b/tests/scenarios/scenario.cpp
@@ -3,7 +3,9 @@
 #include <fcntl.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -78,6 +80,9 @@
     {"heard", codec::ViewerType::ReleaseHeard}, {"move", codec::ViewerType::Move},
     {"test", codec::ViewerType::Test},          {"result", codec::ViewerType::TestResult}};
 
+const std::map<std::string, int> signals = {
+    {"term", SIGTERM}, {"stop", SIGSTOP}, {"go", SIGCONT}, {"hup", SIGHUP}};
+
 const std::map<std::string, codec::ServerVerb> server_verbs = {
     {"START", codec::ServerVerb::Start},       {"PENDING", codec::ServerVerb::Pending},
     {"STARTED", codec::ServerVerb::Started},   {"FINISH", codec::ServerVerb::Finish},
@@ -169,7 +174,7 @@
 
 struct Wire {  // one connection, or one end of a pipe
     net::Fd fd;
-    std::string in;
+    std::string in, rest;  // rest: of a message of which only half was sent
     bool ended = false;
 
     // Waits until `by` for bytes; false when none came.
@@ -297,6 +302,7 @@
         if (pid_ > 0) ::kill(pid_, SIGKILL);
         if (pid_ > 0) ::waitpid(pid_, nullptr, 0);
         if (!config_path_.empty()) ::unlink(config_path_.c_str());
+        if (!pipe_path_.empty()) ::unlink(pipe_path_.c_str());
     }
     Player(const Player&) = delete;
     Player& operator=(const Player&) = delete;
@@ -336,14 +342,20 @@
 
     void agent_line(const std::string& verb, const Words& rest) {
         if (verb == "send" && rest.at(0) == "start") return start(fields_of(rest, 1));
-        static const std::map<std::string, int> signals = {
-            {"term", SIGTERM}, {"stop", SIGSTOP}, {"go", SIGCONT}};
         if (verb == "send" && signals.contains(rest.at(0))) {
             ::kill(pid_, signals.at(rest.at(0)));
             // What the next lines send must not be met by a program that is only about to stop.
             if (rest.at(0) == "stop") ::waitpid(pid_, nullptr, WUNTRACED);
             return;
         }
+        if (verb == "send" && rest.at(0).starts_with("descriptors=")) {
+            const rlim_t most = std::stoul(rest.at(0).substr(12));
+            rlimit limit{};
+            ::prlimit(pid_, RLIMIT_NOFILE, nullptr, &limit);
+            limit.rlim_cur = most;
+            ::prlimit(pid_, RLIMIT_NOFILE, &limit, nullptr);
+            return;
+        }
         if (verb == "send" && rest.at(0) == "reload") {
             auto json = config(fields_of(rest, 1));
             json["feed"] = net::to_text(feed2_.address);
@@ -423,6 +435,9 @@
         net::Fd file(::mkstemp(path));
         config_path_ = path;
         std::ofstream(config_path_) << config(keys).dump();
+        const std::string pipe_path = config_path_ + ".pipe";
+        const bool early = keys.contains("early");
+        if (early && ::mkfifo(pipe_path.c_str(), 0600) != 0) throw Wrong("no pipe");
         int ends[2];
         if (::pipe2(ends, O_CLOEXEC) != 0) throw Wrong("no pipe");
         log_.fd = net::Fd(ends[0]);
@@ -430,10 +445,11 @@
         pid_ = ::fork();
         if (pid_ == 0) {
             ::dup2(out.get(), STDERR_FILENO);
-            ::setenv("RELAY_CONFIG", config_path_.c_str(), 1);
+            ::setenv("RELAY_CONFIG", early ? pipe_path.c_str() : config_path_.c_str(), 1);
             ::execl(JASPERSPREAD_PROGRAM, "jasperspread", nullptr);
             ::_exit(127);
         }
+        if (early) signal_early(signals.at(keys.at("early")), pipe_path);
         if (keys.contains("drop") || keys.contains("listen")) return;  // it is not to come up
         const std::string mark = "address=";
         const double by = unix_now() + patience_s;
@@ -443,6 +459,24 @@
         agent_ = *net::parse_address(log_.in.substr(at, log_.in.find('\n', at) - at));
     }
 
+    // Sends the signal while the program reads its configuration: that comes through a pipe, which the
+    // program has opened by then. A second reading finds the file itself.
+    void signal_early(int signal, const std::string& pipe_path) {
+        int pipe_end = -1;
+        for (const double by = unix_now() + patience_s; pipe_end < 0; pause(0.005)) {
+            if (unix_now() > by) throw Wrong("it never read its configuration");
+            pipe_end = ::open(pipe_path.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+        }
+        std::ifstream file(config_path_);
+        const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+        std::ofstream(config_path_ + ".new") << text;
+        ::rename((config_path_ + ".new").c_str(), pipe_path.c_str());
+        pipe_path_ = pipe_path;
+        ::kill(pid_, signal);
+        if (::write(pipe_end, text.data(), text.size()) < 0) throw Wrong("it has gone");
+        ::close(pipe_end);
+    }
+
     // ---- Viewers and servers ----
 
     Wire& viewer(const std::string& name) {
@@ -461,6 +495,13 @@
         if (verb == "reset") return wire.reset();
         if (verb == "flood") return flood(wire);
         if (verb == "send") return wire.write(viewer_bytes(rest));
+        if (verb == "begin") {
+            wire.rest = viewer_bytes(rest);
+            wire.write(wire.rest.substr(0, wire.rest.size() / 2));
+            wire.rest.erase(0, wire.rest.size() / 2);
+            return;
+        }
+        if (verb == "complete") return wire.write(std::exchange(wire.rest, ""));
         expect(rest,
                [&](double by, auto found) {
                    while (!found(wire)) {
@@ -528,6 +569,8 @@
 
     void feed_line(Listening& feed, const std::string& verb, const Words& rest) {
         if (verb == "close") return feed.drop(false);
+        if (verb == "deaf") return feed.go_deaf();
+        if (verb == "hear") return feed.hear_again();
         if (verb == "expect") {
             const std::string wanted = "Last-Event-ID: " + fields_of(rest, 0).at("after") + "\r\n";
             const auto asked = [&](Wire& wire) { return wire.in.find("\r\n\r\n") != std::string::npos; };
@@ -540,7 +583,9 @@
         if (rest.at(0) == "comment") return feed.talking().write(": on\n\n");
         auto fields = fields_of(rest, 0);
         const std::string n = fields.at("n");
-        const std::string data = members(std::stoi(n), fields.contains("complete"), fields).dump();
+        auto event = members(std::stoi(n), fields.contains("complete"), fields);
+        if (fields.contains("revision")) event["members"]["revision"] = std::stoi(fields.at("revision"));
+        const std::string data = event.dump();
         feed.talking().write("id: " + n + "\ndata: " + data + "\n\n");
     }
 
@@ -616,7 +661,7 @@
     net::Address agent_;
     pid_t pid_ = 0;
     Wire log_, pipe_;
-    std::string config_path_;
+    std::string config_path_, pipe_path_;
     agent::ServerDirectory directory_;
     double directory_now_ = 0;
     codec::FeedParser feed_parser_;
--- a/tests/scenarios/scenario.h
+++ b/tests/scenarios/scenario.h
@@ -3,14 +3,17 @@
 //   agent send start [key=value ...]     writes a configuration (limits.sockets, feed=off, drop=FIELD, ...)
 //   and
 //                                        starts the program
-//   agent send term                      SIGTERM; stop, go: it gets no more of the core, and gets it again
+//                                        early=hup sends that signal while it reads its configuration
+//   agent send term                      SIGTERM; hup; stop, go: it gets no more of the core, and gets it again
+//   agent send descriptors=20            it may hold no more from here on
 //   agent send reload [key=value ...]    writes it anew, with feed2 for its feed, and sends SIGHUP
 //   agent expect exit=N | log=TEXT       its end, or a line of its log that holds TEXT
 //   v1 send setup 7 class=free wait=900  a viewers' message; also test, release, ...; raw=HEX for any bytes
 //   v1 expect answer 7 body=there        the next message, with at least these fields
+//   v1 begin setup 7, v1 complete        half of a message, and later the other half
 //   s1 expect START 7 rung=1             the same for a server, whose messages may come on any connection
 //   s1 send STARTED 7 blob=there         also text=LINE as it stands, part=TEXT without its line feed
-//   feed expect after=3, feed send n=4 s1=draining, feed send comment
+//   feed expect after=3, feed send n=4 s1=draining (revision=N where it differs), feed send comment, feed deaf
 //   X expect nothing 0.3, X expect closed, X close, X reset, v1 flood
 //   s1 deaf, s1 hear                     new connections to it stay silent; come up again
 //   s1 refuse                            new connections are refused, those that it has stay open and silent
