--- a/src/agent/viewer_side.h
+++ b/src/agent/viewer_side.h
@@ -30,6 +30,7 @@
 
     net::Address address() const { return listener_.address(); }
     std::size_t connections() const { return peers_.size(); }
+    void accept_no_more() { listener_.close(); }  // but those who wait already
     void finish();  // closes all connections in order, once what is kept for them is written
 
     void answered(SessionId id, const std::string& description) override;
@@ -49,8 +50,8 @@
 
     void accepted(net::Fd fd);
     bool make_room();
-    void take(Peer& peer, const codec::ViewerMessage& message);
-    void take_set_up(Peer& peer, const codec::ViewerMessage& message);
+    void take(Peer& peer, const codec::ViewerMessage& message, std::string_view behind);
+    void take_set_up(Peer& peer, const codec::ViewerMessage& message, bool wanted);
     void turn_away(Peer& peer, SessionId id, std::uint8_t cause, const char* why);
     bool remember(SessionId id);
     void peer_ended(Peer& peer);
