Have an agent that starts beside a cold server wait one window before it sends there

Need: cold servers fall under what all processes send together, restarted ones too. Cause: Brain::may_warm counts an agent's own sends of the last window, and a restarted agent has forgotten those of its former life, so that it sends its part twice.

Change: where a server is known to be cold and started before this agent did, the agent sends nothing there for one window: what it sent before has left the window by then. A server that starts later is used as before.

The bound follows by construction: each agent sends floor(0.8 N / agents) at most in any window of the settings' time, N being what the server bears at its coldest, or one set-up in its turn.

--- a/lab/model/ledger.cpp
+++ b/lab/model/ledger.cpp
@@ -241,6 +241,7 @@
     while (came.front() <= now - cold.fall_s) came.pop_front();
     const double warmed = cold.from + (1 - cold.from) * (now - since->second) / cold.warm_s;
     const double most = cold.fall_multiple * plan_.places / cold.warm_s * warmed * cold.fall_s;
+    sums_.fullest_cold = std::max(sums_.fullest_cold, static_cast<double>(came.size()) / most);
     if (static_cast<double>(came.size()) <= most) return;
     ++sums_.cold_pushed_over;
     if (falls_) {
--- a/lab/model/ledger.h
+++ b/lab/model/ledger.h
@@ -74,6 +74,7 @@
         std::uint64_t set_ups = 0, duplicate_setups = 0, double_payments = 0;
         std::uint64_t moves = 0, moved_again = 0;  // hand-overs, and those within 30 s of the one before
         std::uint64_t late_after_drain = 0, cold_pushed_over = 0;
+        double fullest_cold = 0;  // the most that came in a window, over what the server bore then
         double worth_offered = 0, worth_earned = 0;
         std::uint64_t claimed = 0;
         double ghost_s = 0;           // streamed for viewers whose agent died, and who did not claim it
--- a/src/policy/brain.h
+++ b/src/policy/brain.h
@@ -349,11 +349,13 @@
     // own start) takes one set-up in all the turns instead. May hurt where most servers are cold.
     bool may_warm(const Server& server) const {
         if (!cold_rule() || !cold(server)) return true;
-        const double own = cold_budget(server);
+        const double own = cold_budget(server), started = server.entry.last_start.value_or(never);
+        const bool known = server.fell || now < started + set.cold;
+        // Threat: a front that starts again beside a cold server has forgotten what it sent there before.
+        if (known && started < birth && now < birth + set.fall) return false;
         if (own >= 1) return count_since(server.sends, now - set.fall) < std::floor(own);
         const double turns = std::ceil(1 / std::max(own, 1e-9));
         if (count_since(server.sends, now - turns * set.fall) >= 1) return false;
-        const bool known = server.fell || now < server.entry.last_start.value_or(never) + set.cold;
         const double start = static_cast<double>(server.entry.server % 1021) + set.position;
         return !known || std::fmod(std::floor(now / set.fall) + start, turns) == 0;
     }
