End the round of a set-up that finds no connection; meet late answers before late deadlines

Seen: no answer to anybody within 20 s. A server that was tried is not chosen again there. - Where the program stood still in its wait, poll may come back with nothing though an answer had come in time; the deadline that had passed meanwhile was then met first and the viewer told of a failure (Loop::turn). Excluded: a second answer, one that follows a failure, one that crosses the give-up, three hundred set-ups at once: these held and have tests now; the pauses before the feed have one that fails without the drawn part.

--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -5,6 +5,9 @@
 #include <system_error>
 
 namespace jasperspread::net {
+namespace {
+constexpr double stood_still_s = 0.01;
+}
 
 Deadlines::Key Deadlines::add(double at, std::function<void()> task) {
     const Key key{at, ++added_};
@@ -45,8 +48,13 @@
         polled.push_back({fd, watch.events, 0});
         serials.push_back(watch.serial);
     }
-    const double wait = std::clamp(deadlines_.next() - now(), 0.0, longest_s);
-    const int count = kernel_.poll(polled.data(), polled.size(), wait);
+    const double began = now();
+    const double wait = std::clamp(deadlines_.next() - began, 0.0, longest_s);
+    int count = kernel_.poll(polled.data(), polled.size(), wait);
+    // Guards against a process that stood still in its wait: what came in time meanwhile is met before the
+    // deadlines that have passed.
+    if (count == 0 && now() > began + wait + stood_still_s)
+        count = kernel_.poll(polled.data(), polled.size(), 0);
     if (count < 0) throw std::system_error(-count, std::generic_category(), "poll");
     for (const Order order : {Order::Early, Order::Usual, Order::Late}) {
         for (std::size_t i = 0; count > 0 && i < polled.size(); ++i) {
--- a/src/policy/brain.h
+++ b/src/policy/brain.h
@@ -352,7 +352,8 @@
         const double own = cold_budget(server), started = server.entry.last_start.value_or(never);
         const bool known = server.fell || now < started + set.cold;
         // Threat: a front that starts again beside a cold server has forgotten what it sent there before.
-        if (known && started < birth && now < birth + set.fall) return false;
+        const double clear = own >= 1 ? birth + set.fall : (std::floor(birth / set.fall) + 1) * set.fall;
+        if (known && started < birth && now < clear) return false;
         if (own >= 1) return count_since(server.sends, now - set.fall) < std::floor(own);
         const double turns = std::ceil(1 / std::max(own, 1e-9));
         if (count_since(server.sends, now - turns * set.fall) >= 1) return false;
@@ -583,6 +584,7 @@
             const double most = std::min(room(server, link_limit), rooms[&rack]);
             const double here = dear * local_price(server);
             const bool again = std::find(s.tried.begin(), s.tried.end(), id) != s.tried.end();
+            if (again && set.try_limit == 0) continue;  // nothing else would end the round of those that fail
             Choice c{again, looks_bad(server), 0, never, most, -1, id};
             for (int r = top; r >= low; --r) {
                 if (heard_any && added_rate(s, r, server) > most) continue;
--- a/tests/scenarios/crossing_test.cpp
+++ b/tests/scenarios/crossing_test.cpp
@@ -274,3 +274,85 @@
     )"),
              "");
 }
+
+TEST_CASE(
+    "without a limit of tries, a set-up that finds no connection is turned away and does not go round") {
+    // Four connections to servers at most, of one set-up each; the fifth set-up has a minute.
+    CHECK_EQ(play(R"(
+        agent send start sockets=32 streams=1 tries=0 deadline=60
+        v1 send setup 1 class=paid wait=60000 home=0 copies=1
+        s1 expect START 1
+        v1 send setup 2 class=paid wait=60000 home=0 copies=1
+        s1 expect START 2
+        v1 send setup 3 class=paid wait=60000 home=0 copies=1
+        s1 expect START 3
+        v1 send setup 4 class=paid wait=60000 home=0 copies=1
+        s1 expect START 4
+        v1 send setup 5 class=paid wait=60000 home=0 copies=1
+        v1 expect release 5 cause=42
+    )"),
+             "");
+}
+
+TEST_CASE(
+    "hundreds of set-ups at once, which nobody holds, are each answered, and others are served meanwhile") {
+    std::string lines = "agent send start\nv2 send test 1\nv2 expect result 1\nagent send stop\n";
+    for (int i = 1; i <= 300; ++i) lines += "v1 send setup " + std::to_string(i) + " home=5 copies=1\n";
+    lines +=
+        "v2 send setup 999\nwait 0.2\nagent send go\ns1 expect START 999\ns1 send STARTED 999\nv2 expect "
+        "answer 999\n";
+    for (int i = 1; i <= 300; ++i) lines += "v1 expect release " + std::to_string(i) + " cause=42\n";
+    CHECK_EQ(play(lines), "");
+}
+
+TEST_CASE("an answer that comes a second time, or after its set-up has failed, is matched to nothing else") {
+    CHECK_EQ(play(R"(
+        agent send start
+        v1 send setup 5 class=paid
+        s1 expect START 5
+        s1 send STARTED 5 blob=one
+        s1 send STARTED 5 blob=two
+        v1 expect answer 5 body=one
+        v1 send setup 6 class=paid
+        s1 expect START 6
+        s1 send FINISH 6 rc=47
+        s1 send STARTED 6 blob=late
+        s1 send FINISH 6 rc=34
+        v1 expect release 6 cause=41
+        s1 expect FINISH 6 rc=16               # what stands there now is ended
+        v1 send setup 7 class=paid
+        s1 expect START 7
+        s1 send STARTED 5 blob=three
+        s1 send STARTED 7 blob=seven
+        v1 expect answer 7 body=seven
+        v1 expect nothing 0.3
+    )"),
+             "");
+}
+
+TEST_CASE("an answer that arrives in the turn of the viewer's give-up, or of its time, is released") {
+    CHECK_EQ(play(R"(
+        agent send start
+        v1 send setup 5 class=paid
+        s1 expect START 5
+        agent send stop
+        s1 send STARTED 5 blob=late
+        v1 send release 5 cause=16
+        wait 0.2
+        agent send go
+        s1 expect FINISH 5 rc=16
+        s1 expect FINISH 5 rc=16               # for the answer that crossed it
+        v1 expect heard 5
+        v1 expect nothing 0.2
+        v1 send setup 6 class=paid wait=1500
+        s1 expect START 6
+        agent send stop
+        wait 1
+        s1 send STARTED 6 blob=last            # in time; the program reads it when its time is over
+        wait 1
+        agent send go
+        v1 expect answer 6 body=last
+        v1 expect nothing 0.3
+    )"),
+             "");
+}
--- a/tests/scenarios/scenario.cpp
+++ b/tests/scenarios/scenario.cpp
@@ -405,6 +405,9 @@
             if (key == "sockets") json["limits"]["sockets"] = std::stod(value);
             if (key == "idle") json["settings"]["limits"]["conn_idle"] = std::stod(value);
             if (key == "connect") json["settings"]["limits"]["connect_timeout"] = std::stod(value);
+            if (key == "tries") json["settings"]["limits"]["try_limit"] = std::stoi(value);
+            if (key == "streams") json["settings"]["limits"]["streams_per_conn"] = std::stoi(value);
+            if (key == "deadline") json["settings"]["classes"][0]["deadline"] = std::stod(value);
             if (key == "told") json["settings"]["family_info"]["told_every"] = std::stod(value);
             if (key == "drop") json.erase(value);
             if (key == "listen") json["listen"] = value;
