Wait beside a cold server only where an agent's part is a whole set-up or more

Change: parts under one set-up go round by turns, and one turn in some twenty is an agent's own: it counts its sends twice only if it sends, dies and is back within that turn. There the wait is dropped; where a part is one set-up or more it stays.

Left: seven in ten killed at one instant may then send up to 1.36 of what the server bears at its coldest in that window, which passes N + 2 sqrt(N) + 2 only from N = 42 on, and only if all who are in turn had sent before and send again.

--- a/src/policy/brain.h
+++ b/src/policy/brain.h
@@ -352,8 +352,7 @@
         const double own = cold_budget(server), started = server.entry.last_start.value_or(never);
         const bool known = server.fell || now < started + set.cold;
         // Threat: a front that starts again beside a cold server has forgotten what it sent there before.
-        const double clear = own >= 1 ? birth + set.fall : (std::floor(birth / set.fall) + 1) * set.fall;
-        if (known && started < birth && now < clear) return false;
+        if (own >= 1 && known && started < birth && now < birth + set.fall) return false;
         if (own >= 1) return count_since(server.sends, now - set.fall) < std::floor(own);
         const double turns = std::ceil(1 / std::max(own, 1e-9));
         if (count_since(server.sends, now - turns * set.fall) >= 1) return false;
