Wait beside a cold server only in fleets so small that all may restart at once

Change: up to four agents wait; of more, not all start again in one window.

By construction up to 1.36 of the coldest N could come if seven in ten had each spent their part, died and spent it again in one window.

--- a/src/policy/brain.h
+++ b/src/policy/brain.h
@@ -351,8 +351,8 @@
         if (!cold_rule() || !cold(server)) return true;
         const double own = cold_budget(server), started = server.entry.last_start.value_or(never);
         const bool known = server.fell || now < started + set.cold;
-        // Threat: a front that starts again beside a cold server has forgotten what it sent there before.
-        if (own >= 1 && known && started < birth && now < birth + set.fall) return false;
+        // Threat: a front that starts again beside a cold server has forgotten its sends; few may all do.
+        if (!many() && known && started < birth && now < birth + set.fall) return false;
         if (own >= 1) return count_since(server.sends, now - set.fall) < std::floor(own);
         const double turns = std::ceil(1 / std::max(own, 1e-9));
         if (count_since(server.sends, now - turns * set.fall) >= 1) return false;
