--- a/tests/scenarios/scenario.h
+++ b/tests/scenarios/scenario.h
@@ -4,7 +4,8 @@
 //   and
 //                                        starts the program
 //                                        early=hup sends that signal while it reads its configuration
-//   agent send term                      SIGTERM; hup; stop, go: it gets no more of the core, and gets it again
+//   agent send term, hup                 SIGTERM, SIGHUP
+//   agent send stop, agent send go       it gets no more of the core, and gets it again
 //   agent send descriptors=20            it may hold no more from here on
 //   agent send reload [key=value ...]    writes it anew, with feed2 for its feed, and sends SIGHUP
 //   agent expect exit=N | log=TEXT       its end, or a line of its log that holds TEXT
