--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <utility>
 
 namespace jasperspread::net {
 namespace {
@@ -181,6 +182,7 @@
 }
 
 void Connection::end_soon(End why) {
+    if (std::exchange(ends_soon_, true)) return;  // a busy peer must not put it off turn by turn
     timer_.set(loop_.now(), [this, why] { end(why); });
 }
 
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -76,7 +76,7 @@
     Fd fd_;
     State state_ = State::Open;
     const Order order_ = Order::Usual;
-    bool peer_left_ = false;
+    bool peer_left_ = false, ends_soon_ = false;
     BufferPool::Lease in_;
     std::deque<BufferPool::Lease> out_;
     bool wants_writable_ = false;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -51,10 +51,10 @@
     const double began = now();
     const double wait = std::clamp(deadlines_.next() - began, 0.0, longest_s);
     int count = kernel_.poll(polled.data(), polled.size(), wait);
-    // Guards against a process that stood still in its wait: what came in time meanwhile is met before the
-    // deadlines that have passed.
-    if (count == 0 && now() > began + wait + stood_still_s)
-        count = kernel_.poll(polled.data(), polled.size(), 0);
+    // Guards against a process that stood still, in its wait or after it: what came in time is met before the
+    // deadlines that have passed meanwhile. Only those that were due when poll had looked are met this turn.
+    const double looked = now();
+    if (looked > began + wait + stood_still_s) count = kernel_.poll(polled.data(), polled.size(), 0);
     if (count < 0) throw std::system_error(-count, std::generic_category(), "poll");
     for (const Order order : {Order::Early, Order::Usual, Order::Late}) {
         for (std::size_t i = 0; count > 0 && i < polled.size(); ++i) {
@@ -66,7 +66,7 @@
             it->second.who->ready(polled[i].revents);
         }
     }
-    deadlines_.sweep(now());
+    deadlines_.sweep(looked);
     retired_.clear();
 }
 
