--- a/tests/lab/cold_test.cpp
+++ b/tests/lab/cold_test.cpp
@@ -50,7 +50,7 @@
 
 }  // namespace
 
-TEST_CASE("all agents together keep within what a cold server bears, also while most are restarted") {
+TEST_CASE("few agents keep within what a cold server bears, many within the chance granted") {
     for (const int agents : {2, 20, 30, 300}) {
         for (std::uint64_t seed = 1; seed <= 3; ++seed) {
             const Sums sums = ramp(seed, agents);
--- a/tests/scenarios/crossing_test.cpp
+++ b/tests/scenarios/crossing_test.cpp
@@ -47,8 +47,7 @@
 TEST_CASE("a set-up that is read together with its own release is not sent") {
     CHECK_EQ(play(R"(
         agent send start
-        v1 send test 1
-        v1 expect result 1
+        stands 4                               # a connection to the server is open
         agent send stop
         v1 send setup 5
         v1 send setup 6
--- a/tests/scenarios/scenario.cpp
+++ b/tests/scenarios/scenario.cpp
@@ -441,6 +441,7 @@
         const std::string pipe_path = config_path_ + ".pipe";
         const bool early = keys.contains("early");
         if (early && ::mkfifo(pipe_path.c_str(), 0600) != 0) throw Wrong("no pipe");
+        if (early) pipe_path_ = pipe_path;
         int ends[2];
         if (::pipe2(ends, O_CLOEXEC) != 0) throw Wrong("no pipe");
         log_.fd = net::Fd(ends[0]);
@@ -474,7 +475,6 @@
         const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
         std::ofstream(config_path_ + ".new") << text;
         ::rename((config_path_ + ".new").c_str(), pipe_path.c_str());
-        pipe_path_ = pipe_path;
         ::kill(pid_, signal);
         if (::write(pipe_end, text.data(), text.size()) < 0) throw Wrong("it has gone");
         ::close(pipe_end);
