Let the membership run choose its size and links, and tell false deaths of the living from late ones

Cause: the run had 300 agents only, and its one count of false deaths did not say whether the process that ran was meant or an earlier one of its name. Old figures keep their names.

--- a/lab/run/experiments.cpp
+++ b/lab/run/experiments.cpp
@@ -22,7 +22,7 @@
         {"power-loss-fleet",
          "300 agents and 200 servers in virtual time, each order in which service returns",
          run_power_loss_fleet},
-        {"membership", "300 agents that talk, in virtual time: messages, deaths found, false ones",
+        {"membership", "agents (300) that talk, in virtual time: messages, deaths found, false ones",
          run_membership},
         {"demo", "ten seconds of service on sockets", run_demo},
         {"load", "what a set-up costs the agent, served and refused, on sockets", run_load}};
--- a/lab/run/experiments.h
+++ b/lab/run/experiments.h
@@ -18,6 +18,7 @@
     std::string broken;  // the name of a broken agent that takes the place of the sound one
     std::string broken_program;
     std::string order;         // of return after a power loss: only this one
+    std::string links;         // of membership: only "calm" or "lossy" ones
     std::uint64_t follow = 0;  // the session of which all is printed
     bool cut_down = false;     // a failing plan of faults is cut down to a smaller one
 };
@@ -25,6 +26,7 @@
 struct Result {
     std::vector<std::string> violations;
     std::vector<std::pair<std::string, double>> figures;  // in the order in which they are told
+    std::vector<std::string> notes;                       // for the reader; no figure and no violation
 };
 
 struct Experiment {
@@ -44,7 +46,7 @@
 Result run_durability(const Ask& ask);        // the store alone
 Result run_power_loss(const Ask& ask);        // processes: buildings and all lose power
 Result run_power_loss_fleet(const Ask& ask);  // 300 agents in virtual time, each order of return
-Result run_membership(const Ask& ask);        // 300 agents that talk, in virtual time
+Result run_membership(const Ask& ask);        // agents that talk, in virtual time
 Result run_load(const Ask& ask);              // sockets: what a set-up costs the agent
 
 Result run_demo(const Ask& ask);  // sockets: ten seconds of service
--- a/lab/run/main.cpp
+++ b/lab/run/main.cpp
@@ -22,10 +22,12 @@
     app.add_option("--plot-data", ask.plot, "where the experiment has a picture, its points go there");
     app.add_option("--program", ask.program, "the agent, for experiments on sockets");
     app.add_option("--agents", ask.agents, "how many agents; processes of the program: 40 at most")
-        ->check(CLI::Range(2, 300));
+        ->check(CLI::Range(2, 1000));
     app.add_option("--broken", ask.broken, "a broken agent in place of the sound one, by its name");
     app.add_option("--broken-program", ask.broken_program, "the program that can be broken");
     app.add_option("--order", ask.order, "of return after a power loss: only this one is played");
+    app.add_option("--links", ask.links, "of membership: only calm or lossy ones are played")
+        ->check(CLI::IsMember({"calm", "lossy"}));
     app.add_option("--follow", ask.follow, "print all that is seen of this session");
     app.add_flag("--cut-down", ask.cut_down, "look for a smaller plan of faults that still fails");
     CLI11_PARSE(app, argc, argv);
@@ -47,6 +49,7 @@
             constexpr std::size_t shown = 10;
             for (std::size_t i = 0; i < std::min(shown, result.violations.size()); ++i)
                 std::printf("  %s\n", result.violations[i].c_str());
+            for (const std::string& note : result.notes) std::printf("  %s\n", note.c_str());
             if (!result.violations.empty())
                 std::printf("again: scripts/lab %s --seed %llu\n", one.name,
                             static_cast<unsigned long long>(ask.seed));
--- a/lab/sim/talk_world.cpp
+++ b/lab/sim/talk_world.cpp
@@ -106,14 +106,22 @@
         std::count_if(slots_.begin(), slots_.end(), [](const Slot& one) { return one.peers != nullptr; }));
 }
 
-void TalkWorld::said(int, const std::string& what, const std::string& name) {
+// Whether what `by` knows of this agent is of the process that runs, not of an earlier one of its name.
+bool TalkWorld::is_running_life(int by, const Slot& of) {
+    const auto& known = slot(by).peers->membership().members();
+    const auto it = known.find(of.name);
+    return it != known.end() && it->second.word.life.token == of.peers->membership().self().life.token;
+}
+
+void TalkWorld::said(int by, const std::string& what, const std::string& name) {
     ++logged_[what];
     if (what != "died") return;
     const auto it =
         std::find_if(slots_.begin(), slots_.end(), [&](const Slot& one) { return one.name == name; });
     if (it == slots_.end()) return;
     if (it->died == 0) {
-        ++false_deaths_;
+        ++(is_running_life(by, *it) ? false_deaths_of_running_ : late_deaths_);
+        falsely_dead_.insert(name);
         return;
     }
     ++it->heard_by;
--- a/lab/sim/talk_world.h
+++ b/lab/sim/talk_world.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -34,7 +35,12 @@
     // Whether each one that runs counts just those that run as present.
     bool all_agree();
     // How often an agent that ran at the time was said to have died, over all agents that said so.
-    std::uint64_t false_deaths() const { return false_deaths_; }
+    std::uint64_t false_deaths() const { return false_deaths_of_running_ + late_deaths_; }
+    // Of those: the process that ran was meant, or an earlier one of its name that had died indeed.
+    std::uint64_t false_deaths_of_running() const { return false_deaths_of_running_; }
+    std::uint64_t late_deaths() const { return late_deaths_; }
+    // The agents that ran and were said to have died.
+    const std::set<std::string>& falsely_dead() const { return falsely_dead_; }
     // For each death, from the kill to when the first and the last of those that run knew it, s.
     const std::vector<double>& first_heard() const { return first_heard_; }
     const std::vector<double>& last_heard() const { return last_heard_; }
@@ -63,13 +69,15 @@
     Slot& slot(int agent) { return slots_[static_cast<std::size_t>(agent)]; }
     void add_slot(const std::string& name);
     void end(Slot& slot);
+    bool is_running_life(int by, const Slot& of);
     void said(int by, const std::string& what, const std::string& name);
     std::size_t running() const;
 
     Network network_;
     jasperspread::fleet::Settings settings_;
     std::vector<Slot> slots_;
-    std::uint64_t false_deaths_ = 0;
+    std::uint64_t false_deaths_of_running_ = 0, late_deaths_ = 0;
+    std::set<std::string> falsely_dead_;
     std::vector<double> first_heard_, last_heard_;
     std::map<std::string, std::size_t> logged_;
 };
