Keep the gossip queue short, so that a refutation is told in time; bound a list's traffic by digests

All 15 false reports meant the process that ran, none a former incarnation. Each agent's gossip queue held an entry for each of the 450 members from 8 s after the start on: each member that a whole list told of was queued, to be told 27 times, and each forwarder of a suspicion was taken for one more accuser and put its entry back to the front. A refutation then went out 10 times in the ten seconds of the suspicion, the median of 447 agents, in place of 27; of n103's (18.8 s) two datagrams went to n397, which suspected it since 18.0 s, and both were lost, as was its one last ping. It called n103 dead at 29.2 s and heard the refutation at 31.5 s. n418 and n17 (23.0, 22.9, 34.1 and 34.1 s): the same. Messages rose with the fleet as each first datagram to a member was challenged for its token, and bytes as each list was whole. Change: members from lists are not queued; a further accuser does not queue a suspicion anew; of entries told as often the newest goes first; a member's token is taken from the gossip that named it; a Join carries digests of 32 buckets of the member table, and its answer holds the buckets that differ (agents of earlier versions pass over them and answer in full); the last call is three pings in the time that one had.

--- a/src/agent/peers.cpp
+++ b/src/agent/peers.cpp
@@ -59,6 +59,8 @@
     const auto to = net::parse_address(letter.to);
     if (!to) return;
     Peer& peer = peer_at(letter.to);
+    // Gossip names a member's token before the first datagram to it: it need not be challenged for.
+    if (peer.token == 0) peer.token = letter.token;
     seal_.set_life(membership_.self().life);
     const std::string bytes = seal_.close(peer.token, encode(letter.message));
     socket_.send(bytes, *to);
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -23,13 +23,40 @@
 constexpr double list_pause_most = 64;
 // Once more is spoken with a suspect before it is called dead, and so many times the usual answer waited for.
 constexpr double last_call_answers = 2;
+// In that time it is pinged so many times: over links that lose a fifth one ping in three goes unanswered.
+constexpr unsigned last_call_pings = 3;
 // Who says that it lives says so to so many at once, beside the news.
 constexpr std::size_t refutation_told = 4;
 // Of the words in a message so many are kept for news that is neither a doubt nor an answer to one.
 constexpr std::ptrdiff_t words_for_calm = 4;
+// Into so many buckets the members are divided by name, and each one has a digest.
+constexpr std::size_t digest_buckets = 32;
 // A probe for another is forgotten after so many periods.
 constexpr double relay_periods = 8;
 
+// The same in all agents: FNV-1a, and the finalizer of splitmix64.
+std::uint64_t hash_of(std::string_view text) {
+    std::uint64_t hash = 0xcbf29ce484222325U;
+    for (const char letter : text) hash = (hash ^ static_cast<unsigned char>(letter)) * 0x100000001b3U;
+    return hash;
+}
+
+std::uint64_t mixed(std::uint64_t value) {
+    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9U;
+    value = (value ^ (value >> 27)) * 0x94d049bb133111ebU;
+    return value ^ (value >> 31);
+}
+
+std::size_t digest_bucket(std::string_view name) {
+    return static_cast<std::size_t>(mixed(hash_of(name)) % digest_buckets);
+}
+
+// Of its name and life; not of its health, which changes too often for two agents to have the same.
+void add_to_digests(const Word& word, std::vector<std::uint64_t>& digests) {
+    digests[digest_bucket(word.name)] ^=
+        mixed(mixed(hash_of(word.name) ^ word.life.token) + word.life.incarnation);
+}
+
 }  // namespace
 
 std::string_view name_of(Event::What what) {
@@ -79,7 +106,7 @@
 // ---- What is known ----
 
 void Membership::spread(const Word& word) {
-    news_[word.name] = {word, 0};
+    news_[word.name] = {word, 0, ++spread_};
 }
 
 void Membership::set(Member& member, const Word& word, double now) {
@@ -103,7 +130,7 @@
     spread(word);
 }
 
-void Membership::learn(const Word& word, const Name& from, double now) {
+void Membership::learn(const Word& word, const Name& from, Source source, double now) {
     if (word.name.empty() || word.life.token == 0) return;
     if (word.name == self_.name) return learn_of_self(word);
     const auto it = members_.find(word.name);
@@ -113,8 +140,11 @@
         if (word.health > Health::Suspect) return;
         members_[word.name] = {word, now};
         events_.push_back({Event::What::Joined, word});
-        if (word.health == Health::Suspect) suspicions_[word.name] = {now, {from}, 0};
-        return spread(word);
+        if (word.health == Health::Suspect) suspicions_[word.name] = {now, {from}, 0, 0};
+        // Whoever lacks a member that a list told of asks for a list, too; queued with all agents, the
+        // members of a fleet that starts at once would hold up suspicions and refutations for minutes.
+        if (source == Source::Gossip || word.health == Health::Suspect) spread(word);
+        return;
     }
     Member& member = it->second;
     const bool news = supersedes(word.life, word.health, member.word.life, member.word.health);
@@ -122,20 +152,20 @@
         member.word.health <= Health::Suspect)
         return suspect(member, from, now);
     if (!news) return;
-    if (word.health == Health::Suspect) suspicions_[word.name] = {now, {from}, 0};
+    if (word.health == Health::Suspect) suspicions_[word.name] = {now, {from}, 0, 0};
     set(member, word, now);
 }
 
 void Membership::suspect(Member& member, const Name& accuser, double now) {
     const bool fresh = member.word.health == Health::Alive;
     Suspicion& suspicion = suspicions_[member.word.name];
-    if (fresh) suspicion = {now, {}, 0};
-    const bool counted = suspicion.accusers.size() < static_cast<std::size_t>(accusers_enough) + 1 &&
-                         suspicion.accusers.insert(accuser).second;
+    if (fresh) suspicion = {now, {}, 0, 0};
+    if (suspicion.accusers.size() <= static_cast<std::size_t>(accusers_enough))
+        suspicion.accusers.insert(accuser);
+    if (!fresh) return;
     Word word = member.word;
     word.health = Health::Suspect;
-    if (fresh) return set(member, word, now);
-    if (counted) spread(word);  // told on, so that others count this accuser too
+    set(member, word, now);
 }
 
 // The word of a doubt, and the answer, take the longer to get round the larger the fleet is.
@@ -148,7 +178,9 @@
     const double others = std::max(0.0, static_cast<double>(suspicion.accusers.size()) - 1);
     const double part = std::min(1.0, std::log(others + 1) / std::log(accusers_enough + 1));
     const double at = suspicion.began + least * (2 - part);
-    return suspicion.called > 0 ? std::max(at, suspicion.called + last_call_answers * set_.answer_s) : at;
+    const double last_call = last_call_answers * set_.answer_s;
+    const double next_ping = suspicion.called + last_call * suspicion.pings / last_call_pings;
+    return suspicion.pings > 0 ? std::max(at, next_ping) : at;
 }
 
 // Whoever would call it dead first speaks with it once more: what it said to others may not have come here
@@ -158,12 +190,12 @@
     const double least = suspicions_.empty() ? 0 : least_suspicion();
     for (auto& [name, suspicion] : suspicions_) {
         if (now < suspicion_ends(suspicion, least)) continue;
-        if (suspicion.called > 0) {
+        if (suspicion.pings == last_call_pings) {
             over.push_back(name);
             continue;
         }
-        suspicion.called = now;
-        out.push_back({members_.at(name).word.address, with_news(Kind::Ping, ++numbers_, name)});
+        if (suspicion.pings++ == 0) suspicion.called = now;
+        out.push_back(to_member(members_.at(name), with_news(Kind::Ping, ++numbers_, name)));
     }
     for (const Name& name : over) {
         Word word = members_.at(name).word;
@@ -201,6 +233,10 @@
 
 // ---- What is said ----
 
+Letter Membership::to_member(const Member& member, Message message) {
+    return {member.word.address, std::move(message), member.word.life.token};
+}
+
 Message Membership::with_news(Kind kind, std::uint64_t number, const Name& to) {
     Message message;
     message.kind = kind;
@@ -217,10 +253,12 @@
     const auto urgent = [](const News* news) {
         return news->word.health != Health::Alive || news->word.life.incarnation > 1;
     };
-    const auto calm = std::stable_partition(fresh.begin(), fresh.end(), urgent);
-    const auto less_told = [](const News* one, const News* other) { return one->told < other->told; };
-    std::stable_sort(fresh.begin(), calm, less_told);
-    std::stable_sort(calm, fresh.end(), less_told);
+    const auto calm = std::partition(fresh.begin(), fresh.end(), urgent);
+    const auto less_told = [](const News* one, const News* other) {
+        return one->told != other->told ? one->told < other->told : one->order > other->order;
+    };
+    std::sort(fresh.begin(), calm, less_told);
+    std::sort(calm, fresh.end(), less_told);
     const auto kept = std::min<std::ptrdiff_t>(words_for_calm, fresh.end() - calm);
     const auto room = static_cast<std::ptrdiff_t>(words_most - message.words.size());
     const auto first = std::min(calm - fresh.begin(), std::max<std::ptrdiff_t>(0, room - kept));
@@ -235,19 +273,37 @@
     return message;
 }
 
-// All who are there, in as many messages as it takes; and what is known of the asker, its earlier lives too.
-void Membership::list_to(const Name& asker, const Address& to, std::uint64_t number,
+std::vector<std::uint64_t> Membership::digests() const {
+    std::vector<std::uint64_t> digests(digest_buckets);
+    add_to_digests(self_, digests);
+    for (const auto& [name, member] : members_) {
+        if (member.word.health <= Health::Suspect) add_to_digests(member.word, digests);
+    }
+    return digests;
+}
+
+// All who are there, in as many messages as it takes, less those in whose buckets the asker's digests show
+// nothing else than is known here; and what is known of the asker, its earlier lives too.
+void Membership::list_to(const Name& asker, const Address& to, const Message& join,
                          std::vector<Letter>& out) {
+    const std::vector<std::uint64_t> own = digests();
+    const bool whole = join.digests.size() != own.size();
+    const auto asker_has = [&](const Name& name) {
+        const std::size_t bucket = digest_bucket(name);
+        return !whole && join.digests[bucket] == own[bucket];
+    };
     Message message;
     message.kind = Kind::List;
-    message.number = number;
+    message.number = join.number;
     message.words.push_back(self_);
     const auto flush = [&] {
         out.push_back({to, message});
         message.words.clear();
     };
     for (const auto& [name, member] : members_) {
-        if (member.word.health > Health::Suspect && name != asker) continue;
+        const bool is_listed = member.word.health <= Health::Suspect && !asker_has(name);
+        const bool asker_differs = name == asker && member.word.health != Health::Alive;
+        if (!is_listed && !asker_differs) continue;
         if (message.words.size() >= words_most) flush();
         message.words.push_back(member.word);
     }
@@ -295,18 +351,18 @@
     ++counts_.probes;
     probe_ =
         Probe{*name, ++numbers_, now + set_.answer_s * (1 + sickness_), next_probe_, false, second, 0, 0};
-    out.push_back({members_.at(*name).word.address, with_news(Kind::Ping, probe_->number, *name)});
+    out.push_back(to_member(members_.at(*name), with_news(Kind::Ping, probe_->number, *name)));
 }
 
 void Membership::ask_for_help(std::vector<Letter>& out) {
     probe_->asked_help = true;
     const auto whom = members_.find(probe_->whom);
     if (whom == members_.end()) return;
-    out.push_back({whom->second.word.address, with_news(Kind::Ping, probe_->number, probe_->whom)});
+    out.push_back(to_member(whom->second, with_news(Kind::Ping, probe_->number, probe_->whom)));
     for (const Member* helper : some(set_.helpers, probe_->whom)) {
         Message message = with_news(Kind::PingFor, probe_->number, helper->word.name);
         message.target = whom->second.word;
-        out.push_back({helper->word.address, message});
+        out.push_back(to_member(*helper, std::move(message)));
         ++probe_->helpers;
     }
 }
@@ -365,8 +421,9 @@
     Message join;
     join.kind = Kind::Join;
     join.number = list_asked_ = ++numbers_;
+    join.digests = digests();
     join.words.push_back(self_);
-    for (const Member* one : some(1, "")) out.push_back({one->word.address, join});
+    for (const Member* one : some(1, "")) out.push_back(to_member(*one, join));
 }
 
 // One that told of somebody new may have had more to tell, in datagrams that were lost: soon another one.
@@ -383,7 +440,7 @@
     probe_.reset();
     for (auto& [name, suspicion] : suspicions_) {
         suspicion.began += missed;
-        suspicion.called = 0;
+        suspicion.pings = 0;
     }
     for (auto& [number, relayed] : relayed_) relayed.nack_at += missed;
 }
@@ -451,15 +508,16 @@
         if (life.token != self_.life.token) out.push_back({at, with_news(Kind::Ack, message.number, from)});
         return out;
     }
-    learn({from, at, life, Health::Alive}, from, now);
+    learn({from, at, life, Health::Alive}, from, Source::Gossip, now);
     const std::size_t known = members_.size();
-    for (const Word& word : message.words) learn(word, from, now);
+    const Source source = message.kind == Kind::List ? Source::List : Source::Gossip;
+    for (const Word& word : message.words) learn(word, from, source, now);
     if (message.kind == Kind::List) list_heard(message, members_.size() > known, now);
     if (std::exchange(refuted_, false)) {
         Message lives;
         lives.kind = Kind::List;
         lives.words.push_back(self_);
-        for (const Member* one : some(refutation_told, "")) out.push_back({one->word.address, lives});
+        for (const Member* one : some(refutation_told, "")) out.push_back(to_member(*one, lives));
     }
     switch (message.kind) {
         case Kind::Ping:
@@ -486,11 +544,12 @@
         case Kind::PingFor: {
             const std::uint64_t number = ++numbers_;
             relayed_[number] = {at, message.number, now + set_.answer_s, false};
-            out.push_back({message.target.address, with_news(Kind::Ping, number, message.target.name)});
+            out.push_back({message.target.address, with_news(Kind::Ping, number, message.target.name),
+                           message.target.life.token});
             break;
         }
         case Kind::Join:
-            list_to(from, at, message.number, out);
+            list_to(from, at, message, out);
             break;
         case Kind::List:
         case Kind::Challenge:
@@ -511,7 +570,7 @@
     Message message;
     message.kind = Kind::List;
     message.words.push_back(self_);
-    for (const Member* member : some(leave_told, "")) out.push_back({member->word.address, message});
+    for (const Member* member : some(leave_told, "")) out.push_back(to_member(*member, message));
     return out;
 }
 
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -21,6 +21,7 @@
 struct Letter {  // a message to be sent
     Address to;
     Message message;
+    std::uint64_t token = 0;  // of the receiver's life as the member table has it; 0: not known
 };
 
 struct Event {
@@ -76,7 +77,8 @@
     struct Suspicion {
         double began = 0;
         std::set<Name> accusers;
-        double called = 0;  // once more, before it is called dead; 0: not yet
+        double called = 0;   // of the pings before it is called dead, the first; where there were any
+        unsigned pings = 0;  // of those
     };
     struct Probe {
         Name whom;
@@ -98,9 +100,11 @@
     struct News {
         Word word;
         unsigned told = 0;
+        std::uint64_t order = 0;  // of all that was spread
     };
+    enum class Source { Gossip, List };
 
-    void learn(const Word& word, const Name& from, double now);
+    void learn(const Word& word, const Name& from, Source source, double now);
     void learn_of_self(const Word& word);
     void set(Member& member, const Word& word, double now);
     void suspect(Member& member, const Name& accuser, double now);
@@ -113,8 +117,10 @@
     double period() const;
     double uniform() { return static_cast<double>(random_() >> 11) * 0x1p-53; }
     std::size_t tellings() const;
+    static Letter to_member(const Member& member, Message message);
     Message with_news(Kind kind, std::uint64_t number, const Name& to);
-    void list_to(const Name& asker, const Address& to, std::uint64_t number, std::vector<Letter>& out);
+    std::vector<std::uint64_t> digests() const;
+    void list_to(const Name& asker, const Address& to, const Message& join, std::vector<Letter>& out);
     void list_heard(const Message& message, bool told_news, double now);
     std::optional<Name> next_probed();
     std::vector<const Member*> some(std::size_t count, const Name& but);
@@ -136,7 +142,7 @@
     std::optional<Probe> probe_;
     std::map<std::uint64_t, Relayed> relayed_;  // by our number
     std::optional<Twin> twin_;
-    std::uint64_t numbers_ = 0;
+    std::uint64_t numbers_ = 0, spread_ = 0;
     double next_probe_, next_sync_, next_list_, turned_;
     double list_pause_ = 0;
     std::uint64_t list_asked_ = 0;  // number of the last one asked for; 0: it was answered
--- a/src/fleet/message.cpp
+++ b/src/fleet/message.cpp
@@ -87,8 +87,9 @@
 std::string encode(const Message& message) {
     json words = json::array();
     for (const Word& word : message.words) words.push_back(written(word));
-    json whole = json::array({version, static_cast<unsigned>(message.kind), message.number,
-                              written(message.target), words, message.sessions});
+    json whole =
+        json::array({version, static_cast<unsigned>(message.kind), message.number, written(message.target),
+                     words, message.kind == Kind::Join ? message.digests : message.sessions});
     // Only these have a seventh part, so that agents of earlier versions read all others.
     if (tells_status(message.kind)) whole.push_back(written(message.status.value_or(Status{})));
     std::string bytes;
@@ -114,8 +115,10 @@
     for (const json& word : whole[4]) {
         if (!read_word(word, message.words.emplace_back())) return std::nullopt;
     }
-    for (const json& id : whole[5]) {
-        if (!read_number(id, message.sessions.emplace_back())) return std::nullopt;
+    // Agents of earlier versions send no digests, and pass over them.
+    auto& numbers = message.kind == Kind::Join ? message.digests : message.sessions;
+    for (const json& number : whole[5]) {
+        if (!read_number(number, numbers.emplace_back())) return std::nullopt;
     }
     return message;
 }
--- a/src/fleet/message.h
+++ b/src/fleet/message.h
@@ -46,13 +46,14 @@
     Word target;                          // PingFor: whom, by name and address
     std::vector<Word> words;              // news
     std::vector<std::uint64_t> sessions;  // of Question and Answer
+    std::vector<std::uint64_t> digests;   // of Join: of the buckets of the sender's member table; or none
     std::optional<Status> status;         // of Hail and Status
     bool operator==(const Message&) const = default;
 };
 
 constexpr std::size_t datagram_most = 1200;  // bytes, sealed
 constexpr std::size_t words_most = 12;       // in one message: they fit a datagram with names of 32 bytes
-constexpr std::size_t sessions_most = 100;   // in one message
+constexpr std::size_t sessions_most = 100;   // in one message; digests, too
 constexpr std::size_t name_most = 32, address_most = 21, zone_most = 32;
 constexpr std::size_t runs_most = 60;  // in one message
 
