--- a/tests/fleet/seal_test.cpp
+++ b/tests/fleet/seal_test.cpp
@@ -29,7 +29,13 @@
                                  "255.255.255.255:65535",
                                  {random(), random()},
                                  static_cast<Health>(random() % 4)});
-    if (message.kind != Kind::Hail && message.kind != Kind::Status) return message;
+    if (message.kind != Kind::Hail && message.kind != Kind::Status) {
+        // A message has words or such numbers; a Join tells of its sender alone.
+        auto& numbers = message.kind == Kind::Join ? message.digests : message.sessions;
+        if (message.words.size() > 1) return message;
+        for (std::size_t i = random() % (sessions_most + 1); i > 0; --i) numbers.push_back(random());
+        return message;
+    }
     message.words.clear();
     const auto ms = [&] { return static_cast<double>(random() % 1000000000) / 1000; };
     Status& status = message.status.emplace();
