Keep what decisions ask for as sessions change, in place of walks over all sessions

Change: src/accounting holds per server the charges since a reading (by begin, remembered until the ledger changes), the rates, the shared titles and the sessions below their tops by the price at which they rise; for all servers together the rates, playing titles, limited titles, and the demand at a price as sorted tastes. Sessions stand in a table that offers no iteration. Relief takes its next step from a sorted set in place of a search over all sessions. Result: tests/accounting compares all of it with full walks after random events and bounds by counts the work of each kind of event beside 500 and 20,000 sessions.

--- a/src/policy/brain.h
+++ b/src/policy/brain.h
@@ -5,8 +5,10 @@
 #include <array>
 #include <map>
 #include <random>
-#include <tuple>
+#include <set>
 #include <utility>
+#include "accounting/demand_curve.h"
+#include "accounting/table.h"
 #include "policy/state.h"
 
 namespace cinderfront {
@@ -15,7 +17,7 @@
     Settings set;
     std::mt19937_64 random;
     double birth = never, now = 0, told_late = 0;
-    std::map<std::uint64_t, Session> sessions;
+    accounting::Table<Session> sessions;
     std::map<std::uint32_t, Server> servers;
     std::map<std::uint32_t, Rack> racks;
     std::map<std::uint64_t, std::uint64_t> timers;  // token: request
@@ -37,13 +39,11 @@
 
     double uniform() { return static_cast<double>(random() >> 11) * 0x1p-53; }
 
-    Session* find(std::uint64_t id) { return find_in(sessions, id); }
-    template <typename Map>
-    static typename Map::mapped_type* find_in(Map& map, const typename Map::key_type& id) {
-        const auto it = map.find(id);
-        return it == map.end() ? nullptr : &it->second;
+    Session* find(std::uint64_t id) { return sessions.find(id); }
+    Server* find_server(std::uint32_t id) {
+        const auto it = servers.find(id);
+        return it == servers.end() ? nullptr : &it->second;
     }
-    Server* find_server(std::uint32_t id) { return find_in(servers, id); }
     const ClassSettings& cls(const Session& s) const { return set.classes[s.req.cls]; }
 
     // Many fronts: none sees much of any server, and all that hear the same do the same.
@@ -57,18 +57,11 @@
         return std::max(0.0, finite_or(set.ladder_kb[static_cast<std::size_t>(rung)] * cls(s).scale, 0));
     }
 
+    bool shares(const Session& s) const { return cls(s).live && set.shared_adds > 0 && set.shared_adds < 1; }
     // What one more viewer adds to a server: a further viewer of a live title adds only a part of the rate.
     double added_rate(const Session& s, int rung, const Server& server) const {
-        const double rate = rate_of(s, rung);
-        if (!cls(s).live || !(set.shared_adds > 0 && set.shared_adds < 1)) return rate;
-        for (const std::uint64_t id : server.sessions) {
-            const Session& other = sessions.at(id);
-            if (id != s.req.id && other.req.title == s.req.title && other.req.cls == s.req.cls &&
-                other.rung == rung) {
-                return rate * set.shared_adds;
-            }
-        }
-        return rate;
+        const bool part = shares(s) && server.held.sharing(s.req.cls, s.req.title, rung);
+        return rate_of(s, rung) * (part ? set.shared_adds : 1);
     }
 
     int rungs() const { return static_cast<int>(std::min(set.ladder_kb.size(), set.worth_by_rung.size())); }
@@ -78,30 +71,20 @@
 
     double slot_of(double time) const { return std::floor(time / slot_s); }
 
-    // kB/s by which own sessions changed a server's use since a reading: set up since, less ended since.
-    double charges(const Server& server, const Reading& reading) const {
-        double sum = 0;
-        for (const Ended& e : server.ended) sum -= e.held_by(reading);
-        for (const std::uint64_t id : server.sessions) {
-            const Session& s = sessions.at(id);
-            if (s.since > reading.as_of && slot_of(now) <= slot_of(s.until)) sum += s.rate;
-        }
-        return sum;
-    }
-
     // kB/s taken in the slot of now: what was told, and the charges since; unheard servers count as average.
     // Every charge begins now or before: the first slot is the fullest, and its test is the test of all.
     double schedule(const Server& server) const {
         double told = heard(server) ? server.link.value : average;
         // Threat: many fronts leave one that has started empty: it is taken to fill over a session's length.
         const double age = now - server.entry.last_start.value_or(never);
-        if (many() && server.sessions.empty() && age < mean_life) told = average * age / mean_life;
-        return std::max(0.0, told * server.link_kb + charges(server, server.link));
+        if (many() && server.held.empty() && age < mean_life) told = average * age / mean_life;
+        return std::max(
+            0.0, told * server.link_kb + server.held.charges.charged_since(server.link.as_of, slot_of(now)));
     }
 
     // Threat: a reading from where this front holds nothing stands still, as of one that hung and is back.
     bool heard(const Server& server) const {
-        if (!server.sessions.empty()) return server.link.as_of > never;
+        if (!server.held.empty()) return server.link.as_of > never;
         const double every = set.told_every > 0 ? set.told_every : reading_every_s;
         return server.link.as_of >= now - reading_lives * every - told_late;
     }
@@ -111,7 +94,7 @@
         const bool told = rack.is_told();
         double sum = told ? rack.told.value * set.rack_link_kb : 0;
         for (const Server* server : rack.servers) {
-            if (told) sum += charges(*server, rack.told);
+            if (told) sum += server->held.charges.charged_since(rack.told.as_of, slot_of(now));
             if (!told && server->listed) sum += std::min(schedule(*server), server->link_kb);
         }
         return std::max(sum, 0.0);
@@ -131,8 +114,8 @@
         average = heard_any ? links / count : 0;
         use = gives = fullness = 0;
         count = 0;
-        for (const auto& [id, rack] : racks) {
-            const double there = schedule(rack), uplink = uplink_kb(rack);
+        for (auto& [id, rack] : racks) {
+            take_stock(rack);
             links = 0;
             for (const Server* server : rack.servers) {
                 if (!server->listed) continue;
@@ -141,10 +124,10 @@
                 use += std::min(own, server->link_kb);
                 if (!heard(*server) || looks_bad(*server) || !(server->link_kb > 0)) continue;
                 // A server that gives less counts as full: its shortage is relief's to mend.
-                full += std::min(1.0, std::max(own / server->link_kb, there / uplink));
+                full += std::min(1.0, std::max(own / server->link_kb, rack.used / rack.gives));
                 ++count;
             }
-            gives += std::min(links, uplink);
+            gives += std::min(links, rack.gives);
         }
         fullness = count > 0 ? full / count : -1;
     }
@@ -153,18 +136,17 @@
     bool heard_any = false;
 
     bool has_racks() const { return set.racks > 0 && set.rack_link_kb > 0; }
-    Rack& rack_of(const Server& server) {
-        return racks[has_racks() ? server.entry.cell % set.racks : server.entry.server];
+    void take_stock(Rack& rack) const {
+        rack.used = schedule(rack);
+        rack.gives = uplink_kb(rack);
     }
-    // How full a server is, of its link or its rack's uplink; and how that changes the price of a kB there.
-    double fill(const Server& server) {
-        const Rack& rack = rack_of(server);
-        return std::max(schedule(server) / std::max(1e-9, server.link_kb), schedule(rack) / uplink_kb(rack));
+    // How the price of a kB changes with how full a server is, of its link or its rack's uplink.
+    double local_price(const Server& server) const {
+        if (!many() || !heard_any) return 1.0;
+        const double link = schedule(server) / std::max(1e-9, server.link_kb);
+        const double fill = std::max(link, server.rack->used / server.rack->gives);
+        return std::exp(local_gain * (fill / aim_fill - 1));
     }
-    double local_price(const Server& server) {
-        return many() && heard_any ? std::exp(local_gain * (fill(server) / aim_fill - 1)) : 1.0;
-    }
-    double room(const Rack& rack, double limit) const { return limit * uplink_kb(rack) - schedule(rack); }
     double room(const Server& s, double limit) const { return limit * s.link_kb - schedule(s); }
 
     // minRead of an uplink, calibrated: what it was seen to give while short, fading back to what is told.
@@ -183,7 +165,7 @@
     double share_of(const Rack& rack) const {
         std::vector<double> shares;
         for (const Server* server : rack.servers) {
-            if (server->sessions.empty() || server->link.value > short_share) continue;
+            if (server->held.empty() || server->link.value > short_share) continue;
             // Threat: shares are told before links: where all links give less, each rack would look short.
             if (many() && is_short(*server) &&
                 (server->link.as_of < server->short_since - told_late ||
@@ -206,29 +188,30 @@
         std::vector<std::pair<Session*, int>> own;  // and the rung that it goes to
         double over = 0;
         for (const Server* server : where) {
-            for (const std::uint64_t id : server->sessions) {
+            for (const std::uint64_t id : server->held.charges.ids()) {
                 Session& s = sessions.at(id);
                 over += s.rate * (1 - factor);
                 if (s.playing && s.rung < rungs()) own.push_back({&s, s.rung});
             }
         }
-        while (over > 0) {
-            std::pair<Session*, int>* best = nullptr;
-            double best_loss = forever, best_step = 0;
-            for (auto& entry : own) {
-                const auto [s, rung] = entry;
-                if (rung <= std::max(0, cls(*s).floor)) continue;
-                const double change = rung < s->rung ? 0 : set.switch_cost_s / relief_horizon_s;
-                const double lost = cls(*s).points * (worth(rung) - worth(rung - 1) + change);
-                const double step = rate_of(*s, rung) - rate_of(*s, rung - 1);
-                if (lost / std::max(1e-9, step) >= best_loss) continue;
-                best_loss = lost / std::max(1e-9, step);
-                best_step = step;
-                best = &entry;
-            }
-            if (best == nullptr || uniform() * best_step > over) break;
-            --best->second;
-            over -= best_step;
+        std::set<std::tuple<double, std::size_t, double>>
+            steps;  // worth lost for a kB, of which in `own`, kB/s
+        const auto offer = [&](std::size_t i) {
+            const auto [s, rung] = own[i];
+            if (rung <= std::max(0, cls(*s).floor)) return;
+            const double change = rung < s->rung ? 0 : set.switch_cost_s / relief_horizon_s;
+            const double lost = cls(*s).points * (worth(rung) - worth(rung - 1) + change);
+            const double step = rate_of(*s, rung) - rate_of(*s, rung - 1);
+            steps.emplace(lost / std::max(1e-9, step), i, step);
+        };
+        for (std::size_t i = 0; i < own.size(); ++i) offer(i);
+        while (over > 0 && !steps.empty()) {
+            const auto [loss, least, step] = *steps.begin();
+            if (uniform() * step > over) break;
+            steps.erase(steps.begin());
+            over -= step;
+            --own[least].second;
+            offer(least);
         }
         for (const auto& [s, rung] : own) {
             if (rung != s->rung) change_rung(*s, rung);
@@ -237,9 +220,11 @@
 
     void change_rung(Session& s, int rung) {
         const double rate = rate_of(s, rung);
-        if (Server* server = find_server(s.server)) server->ended.push_back({now, s.rate - rate, s.since});
+        if (s.at != nullptr) s.at->held.charges.end(now, s.rate - rate, s.since);
+        count(s, false);
         s.rung = rung;
         s.rate = rate;
+        count(s, true);
         s.changed = now;
         act(SetRung{s.req.id, rung});
     }
@@ -250,16 +235,16 @@
         if (server.link.as_of <= server.restored) return;
         server.restored = now;
         if (is_short(server)) return;
-        const Rack& rack = rack_of(server);
-        double own = 0;
-        for (const std::uint64_t sid : server.sessions) own += sessions.at(sid).rate;
+        Rack& rack = *server.rack;
+        take_stock(rack);
+        const double own = server.held.charges.rate();
         double part = room(server, aim_fill) * own / std::max(own, schedule(server));
-        part = std::min(part, room(rack, aim_fill) * own / std::max(own, schedule(rack)));
+        part = std::min(part, (aim_fill * rack.gives - rack.used) * own / std::max(own, rack.used));
         const double dear = price() * local_price(server);
-        for (const std::uint64_t sid : server.sessions) {
-            Session& s = sessions.at(sid);
+        for (const std::uint64_t id : server.held.rising_at(dear)) {
+            Session& s = sessions.at(id);
             const int top = top_rung(s);
-            if (!s.playing || top < 0 || s.rung < 0 || now < s.changed + restore_rest_s) continue;
+            if (now < s.changed + restore_rest_s) continue;
             const int rung = rung_at(s.req.cls, top, dear * s.taste);
             const double more = rate_of(s, rung) - s.rate;
             // A change of rung must earn its told price back within the payback time.
@@ -278,7 +263,7 @@
             at.relieved = now;
             if (many()) at.link = {to, now};
         }
-        Rack& rack = rack_of(at);
+        Rack& rack = *at.rack;
         const double share = share_of(rack);
         if (has_racks() && share >= dead_share && share < short_share && now > rack.relieved + pause) {
             const double depth = rack.is_told() ? 1 : smoothed_by;
@@ -292,11 +277,11 @@
     void hear(Server& server, double value, double as_of) {
         if (!std::isfinite(value) || value < 0 || as_of < server.link.as_of) return;
         server.link = {value, as_of};
-        std::erase_if(server.ended, [&](const Ended& e) { return e.at <= now - ended_kept_s; });
+        server.held.charges.forget_ended(now - ended_kept_s);
     }
 
     void hear_rack(const Server& server, double value, double as_of) {
-        Reading& told = rack_of(server).told;
+        Reading& told = server.rack->told;
         if (has_racks() && std::isfinite(value) && value >= 0 && as_of >= told.as_of) told = {value, as_of};
     }
 
@@ -369,11 +354,7 @@
 
     // Rule 5. Seats of a title and class, set-ups included.
     bool has_seat(const Session& s) const {
-        if (cls(s).seats <= 0) return true;
-        int held = 0;
-        for (const auto& [id, other] : sessions)
-            held += other.out && other.req.cls == s.req.cls && other.req.title == s.req.title;
-        return held < cls(s).seats;
+        return cls(s).seats <= 0 || all_held.limited(s.req.cls, s.req.title) < cls(s).seats;
     }
     // Rule 5. The viewer's top rung within the class's; -1 when the class's floor lies above it.
     int top_rung(const Session& s) const {
@@ -416,13 +397,15 @@
     // has a price; sessions start at the rung worth most after it. Observed condition: what this front holds
     // and refused would not fit its part of the links, or links are fuller than the aim. It falls by itself.
 
+    double kb_of(std::uint32_t cls_index, int rung) const {
+        return set.ladder_kb[static_cast<std::size_t>(rung)] * set.classes[cls_index].scale;
+    }
     int rung_at(std::uint32_t cls_index, int top, double dear) const {
         const ClassSettings& c = set.classes[cls_index];
         int best = top;
         double best_value = never;
         for (int r = top; r >= std::max(0, c.floor); --r) {
-            const double kb = set.ladder_kb[static_cast<std::size_t>(r)] * c.scale;
-            const double value = c.points * worth(r) - dear * kb;
+            const double value = c.points * worth(r) - dear * kb_of(cls_index, r);
             if (value > best_value) {
                 best = r;
                 best_value = value;
@@ -431,32 +414,24 @@
         return best;
     }
 
+    // The demand of the sessions held and turned away, in groups of those with one class and top rung.
+    accounting::DemandCurve demand;
+    std::size_t group_of(std::uint32_t cls_index, int top) {
+        const std::size_t group = cls_index * set.ladder_kb.size() + static_cast<std::size_t>(top);
+        if (demand.defined(group)) return group;
+        const auto rung = [&](double dear) { return rung_at(cls_index, top, dear); };
+        demand.define(group, rung, dearest, [&](int taken) { return kb_of(cls_index, taken); });
+        return group;
+    }
+
     double price() {
-        while (!turned_away.empty() && turned_away.front().at < now - refused_kept_s) turned_away.pop_front();
-        std::vector<Turned> wants(turned_away.begin(), turned_away.end());
-        double own = 0, held = 0;
-        for (const auto& [id, s] : sessions) {
-            const int top = top_rung(s);
-            if (top >= 0) wants.push_back({now, s.req.cls, top, s.taste});
-            if (s.out) own += s.rate;
-            held += s.out;
-        }
+        for (; !turned_away.empty() && turned_away.front().at < now - refused_kept_s; turned_away.pop_front())
+            demand.remove(turned_away.front().group, 1);
         // The quick hand: the price at which this front's own viewers fit its part, for rushes and restarts.
-        const double even = 1 / fronts();
+        const double even = 1 / fronts(), own = all_held.rate();
+        const auto held = static_cast<double>(all_held.size());
         const double part = (use > 0 ? std::clamp(own / use, even, 1.0) : even) * aim_fill * gives;
-        const auto need = [&](double at) {
-            double sum = 0;
-            for (const Turned& w : wants) {
-                const auto rung = static_cast<std::size_t>(rung_at(w.cls, w.top, at * w.taste));
-                sum += set.ladder_kb[rung] * set.classes[w.cls].scale;
-            }
-            return sum;
-        };
-        double quick = least_price, high = need(quick) > part ? most_price : quick;
-        for (int i = 0; i < price_steps && quick < high; ++i) {
-            const double middle = (quick + high) / 2;
-            (need(middle) > part ? quick : high) = middle;
-        }
+        const double quick = demand.price_for(part, least_price, most_price, price_steps);
         // The slow hand: few sessions misjudge their part, so the price also follows how full links are.
         if (fullness >= 0 && now >= priced + price_every_s) {
             priced = now;
@@ -506,12 +481,7 @@
     }
     // Threat: requests that no server can use would have sound servers left out. An error, or a refusal as
     // something wanted, counts only where its title plays. May hurt where a faulty server has rare titles.
-    bool plays(const Session& s) const {
-        if (!s.req.title) return true;
-        return std::any_of(sessions.begin(), sessions.end(), [&](const auto& entry) {
-            return entry.second.playing && entry.second.out && entry.second.req.title == s.req.title;
-        });
-    }
+    bool plays(const Session& s) const { return !s.req.title || all_held.plays(*s.req.title); }
     bool stands_still(const Server& server) const {
         return server.share.as_of >= now - share_lives_s && server.share.value < dead_share;
     }
@@ -526,9 +496,7 @@
 
     struct Turned {
         double at = 0;
-        std::uint32_t cls = 0;
-        int top = 0;
-        double taste = 1;
+        std::size_t group = 0;  // of the demand, with the taste 1: others could not be served for less
     };
     std::deque<Turned> turned_away;
 
@@ -554,13 +522,16 @@
             best = choose(s, many() ? cls(s).floor : r, r, dear);
         }
         if (best.rung >= 0) return send(s, *find_server(best.server), best.rung);
-        if (plays(s)) turned_away.push_back({now, s.req.cls, top, 1});  // others could not be served for less
+        if (plays(s)) {
+            turned_away.push_back({now, group_of(s.req.cls, top)});
+            demand.add(turned_away.back().group, 1);
+        }
         end(s);
     }
 
     // Threat: many fronts open a connection for nearly every session: its price is weighed with the gain.
     bool apart(const Server& server) const {
-        return set.price_handshake > 0 && server.sessions.empty() &&
+        return set.price_handshake > 0 && server.held.empty() &&
                now > server.left + connected_part * set.conn_idle;
     }
     // Threat: many fronts that see one emptiest server all fill it before they hear of each other: each
@@ -573,7 +544,6 @@
     // The drawn holder where the session is worth most, and its rung there: fuller links are dearer, so most
     // room comes first; ties at random. As many are drawn of those that this front is connected to as others.
     Choice choose(const Session& s, int low, int top, double dear) {
-        std::map<const Rack*, double> rooms;
         std::array<std::vector<Choice>, 2> drawn;
         double holders = 0, bad = 0;
         for (auto& [id, server] : servers) {
@@ -581,9 +551,9 @@
             holders += 1;
             bad += looks_bad(server);
             if (!may_resend_to(s, server) || !may_warm(server) || now < server.full_until) continue;
-            const Rack& rack = rack_of(server);
-            if (!rooms.contains(&rack)) rooms[&rack] = room(rack, rack.is_told() ? told_limit : link_limit);
-            const double most = std::min(room(server, link_limit), rooms[&rack]);
+            const Rack& rack = *server.rack;
+            const double there = (rack.is_told() ? told_limit : link_limit) * rack.gives - rack.used;
+            const double most = std::min(room(server, link_limit), there);
             const double here = dear * local_price(server);
             const bool again = std::find(s.tried.begin(), s.tried.end(), id) != s.tried.end();
             if (again && set.try_limit == 0) continue;  // nothing else would end the round of those that fail
@@ -626,8 +596,7 @@
         s.rate = added_rate(s, rung, server);
         s.since = now;
         s.until = now + std::max(0.0, s.req.hint.value_or(default_length_s));
-        s.out = true;
-        s.server = server.entry.server;
+        hold(s, server.entry.server);
         s.tried.push_back(s.server);
         if (!s.may_have_run) {
             s.first_send = now;
@@ -635,7 +604,6 @@
             s.first_cell = server.entry.cell;
         }
         if (s.sends++ > 0) resends.push_back(now);
-        server.sessions.insert(s.req.id);
         server.sends.push_back(now);
         const double kept = set.fall * std::ceil(1 / std::min(1.0, even_part(server)));
         while (server.sends.front() < now - kept) server.sends.pop_front();
@@ -654,24 +622,54 @@
 
     void drop_if_done(std::uint64_t id) {
         const Session* s = find(id);
-        if (s != nullptr && !s->open && !s->out) sessions.erase(id);
+        if (s == nullptr || s->open || s->out) return;
+        if (const int top = top_rung(*s); top >= 0) demand.remove(group_of(s->req.cls, top), s->taste);
+        sessions.erase(id);
     }
 
     // Takes a session off its server: the end of a set-up or of a stream has been told.
     void release(Session& s) {
+        Server* server = s.at;
+        count(s, false);
         s.out = false;
-        Server* server = find_server(s.server);
-        if (server == nullptr || server->sessions.erase(s.req.id) == 0) return;
+        s.at = nullptr;
+        if (server == nullptr) return;
         server->left = now;
         if (!s.playing) --server->setting_up;
-        if (s.playing) server->ended.push_back({now, s.rate, s.since});
+        if (s.playing) server->held.charges.end(now, s.rate, s.since);
         forget_if_idle(s.server);
     }
 
+    // What sessions at servers count for. All of it changes here, so that no event walks the sessions: who
+    // changes one at a server takes it off before, and counts it again after.
+    void hold(Session& s, std::uint32_t server) {
+        s.out = true;
+        s.server = server;
+        s.at = find_server(server);
+        count(s, true);
+    }
+    void count(const Session& s, bool enters) {
+        if (!s.out) return;
+        const int top = top_rung(s);
+        const bool low = s.playing && s.rung >= 0 && s.rung < top;
+        const accounting::Holding holding{
+            .cls = s.req.cls,
+            .title = s.req.title,
+            .rung = s.rung,
+            .playing = s.playing,
+            .limited = cls(s).seats > 0,
+            .shares = shares(s),
+            .rises_below = low ? demand.price_down_to(group_of(s.req.cls, top), s.taste, s.rung) : 0,
+            .charge = {s.req.id, s.since, slot_of(s.until), s.rate}};
+        enters ? all_held.add(holding) : all_held.remove(holding);
+        if (s.at != nullptr) enters ? s.at->held.add(holding) : s.at->held.remove(holding);
+    }
+    accounting::FleetHoldings all_held;
+
     void leave_rack(Server& server) {
-        Rack& rack = rack_of(server);
-        std::erase(rack.servers, &server);
-        if (!has_racks() && rack.servers.empty()) racks.erase(server.entry.server);
+        if (server.rack == nullptr) return;
+        std::erase(server.rack->servers, &server);
+        if (!has_racks() && server.rack->servers.empty()) racks.erase(server.entry.server);
     }
     void unlist(std::uint32_t id) {
         if (Server* server = find_server(id)) server->listed = false;
@@ -679,7 +677,7 @@
     }
     void forget_if_idle(std::uint32_t id) {
         Server* server = find_server(id);
-        if (server == nullptr || server->listed || !server->sessions.empty()) return;
+        if (server == nullptr || server->listed || !server->held.empty()) return;
         leave_rack(*server);
         servers.erase(id);
     }
@@ -710,7 +708,8 @@
             Server& server = servers[entry.server];
             leave_rack(server);
             server.entry = entry;
-            rack_of(server).servers.push_back(&server);
+            server.rack = &racks[has_racks() ? entry.cell % set.racks : entry.server];
+            server.rack->servers.push_back(&server);
             server.listed = true;
             server.link_kb = std::max(0.0, finite_or(set.weight_kb * entry.size, 0));
             if (entry.last_start && std::isfinite(*entry.last_start)) {
@@ -732,10 +731,11 @@
     }
 
     Session& take(const Request& request) {
-        Session& s = sessions[request.id];
+        Session& s = sessions.add(request.id);
         s.req = request;
         s.taken = now;
         s.taste = std::pow(taste_spread, 2 * uniform() - 1);
+        if (const int top = top_rung(s); top >= 0) demand.add(group_of(s.req.cls, top), s.taste);
         return s;
     }
 
@@ -760,18 +760,19 @@
         if (find(event.request.id) != nullptr || event.request.cls >= set.classes.size()) return;
         Session& s = take(event.request);
         s.open = false;
-        s.playing = s.out = s.noted = true;
+        s.playing = s.noted = true;
         s.sends = 1;
-        s.server = event.server;
-        if (Server* server = find_server(event.server)) server->sessions.insert(s.req.id);
+        hold(s, event.server);
     }
 
     void on(const Started& event) {
         Session* s = find(event.id);
         if (s == nullptr || !s->out || s->playing || event.attempt + 1 != s->sends) return;
         s->open = false;
+        count(*s, false);
         s->playing = true;
         s->since = s->changed = now;
+        count(*s, true);
         if (Server* server = find_server(s->server)) {
             --server->setting_up;
             worked(*server);
@@ -785,8 +786,10 @@
         if (note.kind == NoteKind::Rung) {
             const auto rungs = static_cast<double>(set.ladder_kb.size());
             if (note.value < 0 || note.value >= rungs) return;
+            count(*s, false);
             s->rung = static_cast<int>(note.value);
             s->rate = rate_of(*s, s->rung);
+            count(*s, true);
         } else if (note.kind == NoteKind::Link && server != nullptr) {
             // The set-up note speaks of now, the later ones of told_late ago.
             const double as_of = s->noted ? now - told_late : now;
@@ -872,10 +875,8 @@
         release(*s);
         s->rung = event.rung;
         s->rate = rate_of(*s, s->rung);
-        s->out = true;
         s->since = s->changed = now;
-        s->server = event.server;
-        if (Server* server = find_server(event.server)) server->sessions.insert(event.id);
+        hold(*s, event.server);
     }
     void on(const ProbeResult&) {}
     void on(const PeerMessage&) {}
--- a/src/policy/state.h
+++ b/src/policy/state.h
@@ -5,8 +5,8 @@
 #include <cmath>
 #include <deque>
 #include <limits>
-#include <set>
 #include <vector>
+#include "accounting/holdings.h"
 
 namespace cinderfront {
 
@@ -40,6 +40,7 @@
 // Scarcity: a refused viewer counts as wanting for so long, s (most are back then); halvings of the search.
 constexpr double refused_kept_s = 3.0;
 constexpr int price_steps = 30;
+constexpr double dearest = 1e100;     // no rung changes at a higher price of a kB
 constexpr double let_burst_s = 0.25;  // of an allowance so much may be used at once, s
 // What price and restored rungs aim at, of links and uplinks, so that the slot test is still passed.
 constexpr double aim_fill = 0.8;
@@ -68,6 +69,7 @@
     bool playing = false;  // set up; its outcome tells the end
     bool out = false;      // an attempt is at `server`, as set-up or as stream
     std::uint32_t sends = 0, server = 0;
+    struct Server* at = nullptr;  // `server`, where it holds this session
     int rung = -1;
     double rate = 0;                        // kB/s charged
     double since = never, until = forever;  // slots charged
@@ -83,27 +85,21 @@
     double value = 0, as_of = never;
 };
 
-struct Ended {
-    double at = 0, rate = 0, since = 0;
-    // A reading of that time holds it although it has ended.
-    double held_by(const Reading& r) const { return at > r.as_of && since <= r.as_of ? rate : 0; }
-};
-
 struct Server {
     ServerEntry entry;
     bool listed = false;
+    struct Rack* rack = nullptr;
     double link_kb = 0;
     Reading link;
-    Reading share;                     // delivered, as_of when told
-    double short_since = never;        // and told as short without a break
-    double relieved = never;           // own sessions' rungs last lowered
-    double restored = never;           // and raised
-    std::set<std::uint64_t> sessions;  // this front's, set-ups included
-    std::vector<Ended> ended;          // this front's sessions that the reading still holds
-    double cold_since = never;         // it runs at least since then
-    bool fell = false;                 // seen to fail, and not seen to run since
-    std::deque<double> sends;          // inside the cold window
-    int failures = 0;                  // set-ups failed in a row
+    Reading share;                    // delivered, as_of when told
+    double short_since = never;       // and told as short without a break
+    double relieved = never;          // own sessions' rungs last lowered
+    double restored = never;          // and raised
+    accounting::ServerHoldings held;  // this front's, set-ups included
+    double cold_since = never;        // it runs at least since then
+    bool fell = false;                // seen to fail, and not seen to run since
+    std::deque<double> sends;         // inside the cold window
+    int failures = 0;                 // set-ups failed in a row
     double last_failure = never, shun_until = never;
     int setting_up = 0;
     double left = never;  // this front's last session there ended
@@ -116,6 +112,7 @@
     bool is_told() const { return told.as_of > never; }
     double kb = -1;  // learned of its uplink; less than 0: nothing learned
     double learned = never, relieved = never;
+    double used = 0, gives = 0;  // its schedule and uplink when stock was last taken, kB/s
 };
 
 inline double finite_or(double value, double fallback) {
