--- a/examples/try_it/toy_viewer.cpp
+++ b/examples/try_it/toy_viewer.cpp
@@ -57,7 +57,7 @@
     if (::send(fd.get(), request.data(), request.size(), MSG_NOSIGNAL) < 0)
         throw std::runtime_error("broken off");
     std::string in;
-    std::array<char, 4096> bytes;
+    std::array<char, 4096> bytes{};
     for (ssize_t got = 0; (got = ::recv(fd.get(), bytes.data(), bytes.size(), 0)) > 0;) {
         in.append(bytes.data(), static_cast<std::size_t>(got));
         while (const auto decoded = codec::decode_viewer(in)) {
--- a/lab/model/world.cpp
+++ b/lab/model/world.cpp
@@ -28,8 +28,7 @@
 
 std::string ticket_key() {
     std::string key;
-    for (int i = 0; i < 32; ++i)
-        key += jasperspread::codec::to_hex(static_cast<std::uint64_t>(i * 7 + 1)).substr(14);
+    for (std::uint64_t i = 0; i < 32; ++i) key += jasperspread::codec::to_hex(i * 7 + 1).substr(14);
     return key + "\n";
 }
 
--- a/lab/run/agent_process.cpp
+++ b/lab/run/agent_process.cpp
@@ -25,8 +25,10 @@
                          const std::vector<std::pair<std::string, std::string>>& variables) {
     kill();
     log_from_ = text_of(log_).size();
+    // NOLINTBEGIN(cppcoreguidelines-pro-type-const-cast): execv takes char*, and changes nothing
     std::vector<char*> words = {const_cast<char*>("jasperspread")};
     for (const std::string& argument : arguments) words.push_back(const_cast<char*>(argument.c_str()));
+    // NOLINTEND(cppcoreguidelines-pro-type-const-cast)
     words.push_back(nullptr);
     const pid_t lab = ::getpid();
     pid_ = ::fork();
--- a/lab/run/socket_world.h
+++ b/lab/run/socket_world.h
@@ -82,9 +82,9 @@
     Slot& slot(int agent) { return agents_[static_cast<std::size_t>(agent)]; }
     void start_server(int server);
     void start_agent(int agent);
-    void write_settings(const Slot& slot, const std::string& key) const;
+    void write_settings(const Slot& own, const std::string& key) const;
     void gone(int agent, bool by_itself, std::optional<double> back_after);
-    void write_boot(const Slot& slot);
+    void write_boot(const Slot& own);
     void look_after(int agent);
     Viewers* somebody_else(int agent);
     void after(double seconds, std::function<void()> what);
--- a/lab/sim/network.cpp
+++ b/lab/sim/network.cpp
@@ -385,7 +385,7 @@
     const auto [sender, text] = std::move(socket->datagrams.front());
     socket->datagrams.pop_front();
     const std::size_t count = std::min(room, text.size());
-    std::memcpy(bytes, text.data(), count);
+    std::copy_n(text.data(), count, bytes);
     from = sender;
     return static_cast<ssize_t>(count);
 }
--- a/lab/sim/network.h
+++ b/lab/sim/network.h
@@ -54,7 +54,7 @@
     double now() override;
     std::uint64_t random() override;
     int poll(pollfd* polled, std::size_t count, double wait_s) override;
-    int listen(const Address& at) override;
+    int listen(const Address& where) override;
     int accept(int fd) override;
     int open_stream() override;
     int connect(int fd, const Address& to) override;
@@ -63,7 +63,7 @@
     Address peer_address(int fd) override;
     ssize_t receive(int fd, char* bytes, std::size_t room) override;
     ssize_t send(int fd, const char* bytes, std::size_t count) override;
-    int open_datagram(const Address& at) override;
+    int open_datagram(const Address& where) override;
     ssize_t receive_from(int fd, char* bytes, std::size_t room, Address& from) override;
     ssize_t send_to(int fd, const char* bytes, std::size_t count, const Address& to) override;
     std::size_t unread(int fd) override;
@@ -154,7 +154,7 @@
     static Pair pair_of(const Host& a, const Host& b);
     double arrival(const Host& from, const Host& to, double after);
     // Delivers over the link between two hosts, once it is whole.
-    void carry(Host& from, Host& to, double at, std::function<void()> what);
+    void carry(Host& from, Host& to, double when, std::function<void()> what);
     Host* host_at(const Address& address);
     void note(const void* bytes, std::size_t count);
 
--- a/lab/sim/talk_world.h
+++ b/lab/sim/talk_world.h
@@ -62,7 +62,7 @@
     };
     Slot& slot(int agent) { return slots_[static_cast<std::size_t>(agent)]; }
     void add_slot(const std::string& name);
-    void end(Slot& slot);
+    static void end(Slot& own);
     void said(int by, const std::string& what, const std::string& name);
     std::size_t running() const;
 
--- a/simhost/host.cpp
+++ b/simhost/host.cpp
@@ -4,6 +4,17 @@
 #include <limits>
 
 namespace cinderfront::wire {
+namespace {
+
+ListKind list_kind(std::string_view word) {
+    if (word == "update") return ListKind::Update;
+    if (word == "replace") return ListKind::Replace;
+    if (word == "restored") return ListKind::Restored;
+    if (word == "unavailable") return ListKind::Unavailable;
+    throw WireError("expected update, replace, restored or unavailable, got " + std::string(word));
+}
+
+}  // namespace
 
 Host::Instance& Host::instance(const std::string& name) {
     const auto it = instances_.find(name);
@@ -14,80 +25,71 @@
 void Host::event(std::string_view line) {
     Parts parts(line);
     const std::string_view verb = parts.word("message name");
-    if (entries_left_ > 0) {
-        if (verb != "M") throw WireError("expected an M line of the list, got " + std::string(verb));
-        lists_[filling_]->push_back(parse_entry(parts));
-        parts.end();
-        --entries_left_;
-        return;
-    }
-    if (verb == "INVENTORY") {
-        filling_ = parts.whole("table", lists_.size() - 1);
-        entries_left_ = parts.whole("hosts", 1'000'000);
-        parts.end();
-        lists_[filling_].emplace();
-        return;
-    }
+    if (entries_left_ > 0) return list_entry(verb, parts);
+    if (verb == "INVENTORY") return begin_list(parts);
     if (verb == "M") throw WireError("expected an event, got an M line outside a list");
     if (verb == "MARK") throw WireError("expected EOB before the next MARK");
     const std::string name = instance_name(parts);
-    if (verb == "HELLO") {
-        const std::uint64_t seed = parts.whole("seed", std::numeric_limits<std::uint64_t>::max());
-        Profile profile = parse_profile(parts.text());
-        if (instances_.contains(name))
-            throw WireError("expected a new instance, got " + name + ", which runs");
-        Controller controller(profile.settings, seed);
-        instances_.emplace(name, Instance{std::move(profile), std::move(controller)});
-        return;
-    }
+    if (verb == "HELLO") return start_instance(name, parts);
     Instance& inst = instance(name);
     if (verb == "POWER_OFF") {
         parts.end();
         instances_.erase(name);
-        std::erase_if(reply_, [&](const auto& lines) { return lines.first == name; });  // that life is over
+        // What it had answered in this batch is void.
+        std::erase_if(reply_, [&](const auto& lines) { return lines.first == name; });
         return;
     }
+    const Event parsed = verb == "ENDPOINTS" ? Event(server_list(parts, inst.profile))
+                                             : parse_event(verb, parts, inst.profile);
+    parts.end();
     actions_.clear();
-    if (verb == "ENDPOINTS") {
-        const std::string_view kind = parts.word("list kind");
-        ServerList list;
-        if (kind == "update") {
-            list.kind = ListKind::Update;
-        } else if (kind == "replace") {
-            list.kind = ListKind::Replace;
-        } else if (kind == "restored") {
-            list.kind = ListKind::Restored;
-        } else if (kind == "unavailable") {
-            list.kind = ListKind::Unavailable;
-        } else {
-            throw WireError("expected update, replace, restored or unavailable, got " + std::string(kind));
-        }
-        if (!parts.absent()) parts.whole("rev", std::numeric_limits<std::uint64_t>::max());
-        if (list.kind == ListKind::Unavailable) {
-            parts.word("table");
-        } else {
-            const std::size_t table = parts.whole("table", lists_.size() - 1);
-            if (!lists_[table])
-                throw WireError("expected a list sent before, got table " + std::to_string(table));
-            for (const RawEntry& raw : *lists_[table]) {
-                ServerEntry entry = raw.entry;
-                entry.zone = static_cast<std::uint32_t>(index_of(inst.profile.zone_names, raw.zone, "area"));
-                entry.kind = static_cast<std::uint32_t>(index_of(inst.profile.kind_names, raw.kind, "sku"));
-                list.entries.push_back(entry);
-            }
-        }
-        parts.end();
-        inst.controller.handle(now_, list, actions_);
-    } else {
-        const Event parsed = parse_event(verb, parts, inst.profile);
-        parts.end();
-        inst.controller.handle(now_, parsed, actions_);
-    }
+    inst.controller.handle(now_, parsed, actions_);
     if (actions_.empty()) return;
     auto& lines = reply_.emplace_back(name, std::string()).second;
     for (const Action& action : actions_) append_action(lines, name, action);
 }
 
+void Host::begin_list(Parts& parts) {
+    filling_ = parts.whole("table", lists_.size() - 1);
+    entries_left_ = parts.whole("hosts", 1'000'000);
+    parts.end();
+    lists_[filling_].emplace();
+}
+
+void Host::list_entry(std::string_view verb, Parts& parts) {
+    if (verb != "M") throw WireError("expected an M line of the list, got " + std::string(verb));
+    lists_[filling_]->push_back(parse_entry(parts));
+    parts.end();
+    --entries_left_;
+}
+
+void Host::start_instance(const std::string& name, Parts& parts) {
+    const std::uint64_t seed = parts.whole("seed", std::numeric_limits<std::uint64_t>::max());
+    Profile profile = parse_profile(parts.text());
+    if (instances_.contains(name)) throw WireError("expected a new instance, got " + name + ", which runs");
+    Controller controller(profile.settings, seed);
+    instances_.emplace(name, Instance{std::move(profile), std::move(controller)});
+}
+
+ServerList Host::server_list(Parts& parts, const Profile& profile) const {
+    ServerList list;
+    list.kind = list_kind(parts.word("list kind"));
+    if (!parts.absent()) parts.whole("rev", std::numeric_limits<std::uint64_t>::max());
+    if (list.kind == ListKind::Unavailable) {
+        parts.word("table");
+        return list;
+    }
+    const std::size_t table = parts.whole("table", lists_.size() - 1);
+    if (!lists_[table]) throw WireError("expected a list sent before, got table " + std::to_string(table));
+    for (const RawEntry& raw : *lists_[table]) {
+        ServerEntry entry = raw.entry;
+        entry.zone = static_cast<std::uint32_t>(index_of(profile.zone_names, raw.zone, "area"));
+        entry.kind = static_cast<std::uint32_t>(index_of(profile.kind_names, raw.kind, "sku"));
+        list.entries.push_back(entry);
+    }
+    return list;
+}
+
 void Host::run(std::istream& in, std::ostream& out) {
     std::string line;
     std::string batch;
--- a/simhost/host.h
+++ b/simhost/host.h
@@ -27,6 +27,10 @@
         Controller controller;
     };
     void event(std::string_view line);
+    void begin_list(Parts& parts);
+    void list_entry(std::string_view verb, Parts& parts);
+    void start_instance(const std::string& name, Parts& parts);
+    ServerList server_list(Parts& parts, const Profile& profile) const;
     Instance& instance(const std::string& name);
 
     double now_ = 0;
--- a/simhost/wire.h
+++ b/simhost/wire.h
@@ -38,7 +38,7 @@
 };
 
 std::string instance_name(Parts& parts);  // checks the form front_N
-Profile parse_profile(std::string_view pairs);
+Profile parse_profile(std::string_view text);
 LoadReport parse_report(std::string_view text);
 std::string decode_base64(std::string_view text);
 std::string encode_base64(std::string_view bytes);
--- a/src/agent/comeback.h
+++ b/src/agent/comeback.h
@@ -53,7 +53,7 @@
         double heard = 0;
     };
     fleet::Status status();
-    void heard(const fleet::Name& by, const fleet::Status& status);
+    void heard(const fleet::Name& by, const fleet::Status& told);
     double others_pressed() const;
     void hail();
     void look();
--- a/src/agent/config.h
+++ b/src/agent/config.h
@@ -22,6 +22,6 @@
 };
 
 // Throws SettingsError, which names the field.
-Config read_config(std::string_view json);
+Config read_config(std::string_view text);
 
 }  // namespace jasperspread::agent
--- a/src/agent/directory.cpp
+++ b/src/agent/directory.cpp
@@ -140,8 +140,8 @@
     }
 }
 
-const KnownServer* ServerDirectory::find(ServerNumber own) const {
-    const auto it = servers_.find(own);
+const KnownServer* ServerDirectory::find(ServerNumber number) const {
+    const auto it = servers_.find(number);
     return it == servers_.end() ? nullptr : &it->second;
 }
 
--- a/src/agent/keeper.cpp
+++ b/src/agent/keeper.cpp
@@ -64,7 +64,7 @@
             kept.title, life_, loop_.now()};
 }
 
-void Keeper::forget(SessionId id) {
+void Keeper::drop(SessionId id) {
     kept_.erase(id);
     memory_.erase(id);
 }
@@ -100,12 +100,12 @@
     const auto it = kept_.find(id);
     if (it != kept_.end() && it->second.waits) {
         memory_.waits_no_more(id);
-        forget(id);
+        drop(id);
         return GivenUp::Queued;  // not a byte has gone out
     }
     // Its outcome is told to the viewer at once and its end to the server: nothing is owed any more.
     const GivenUp was = servers_->give_up(id);
-    forget(id);
+    drop(id);
     return was;
 }
 
@@ -120,7 +120,7 @@
 
 void Keeper::end_session(SessionId id) {
     servers_->end_session(id);
-    forget(id);
+    drop(id);
 }
 
 void Keeper::adopt(SessionId id, ServerNumber server) {
@@ -131,6 +131,11 @@
     memory_.put(record_of(id, kept, Phase::Standing), false);
 }
 
+void Keeper::forget(SessionId id) {
+    servers_->forget(id);
+    drop(id);
+}
+
 void Keeper::rehome(SessionId id, ServerNumber server, int rung) {
     servers_->rehome(id, server, rung);
     const auto it = kept_.find(id);
@@ -148,13 +153,13 @@
 }
 
 void Keeper::attempt_ended(SessionId id, Ending how, const LoadReport& load) {
-    forget(id);
+    drop(id);
     events_.attempt_ended(id, how, load);
 }
 
 void Keeper::session_ended(SessionId id, Ending how, const LoadReport& load) {
     if (returner_.holds(id)) return returner_.ended(id);
-    forget(id);
+    drop(id);
     events_.session_ended(id, how, load);
 }
 
--- a/src/agent/keeper.h
+++ b/src/agent/keeper.h
@@ -18,7 +18,7 @@
 
 namespace jasperspread::agent {
 
-class Keeper : public ServerPort, public ServerEvents {
+class Keeper final : public ServerPort, public ServerEvents {
 public:
     Keeper(net::Loop& loop, Log& log, const MemoryOrder& order, const Profile& profile,
            const ServerDirectory& directory, ServerEvents& events);
@@ -39,6 +39,7 @@
     void set_rung(SessionId id, int rung) override;
     void end_session(SessionId id) override;
     void adopt(SessionId id, ServerNumber server) override;
+    void forget(SessionId id) override;
     bool hands_over(ServerNumber server) const override { return servers_->hands_over(server); }
     void hand_over(const HandoverWord& word) override { servers_->hand_over(word); }
     void rehome(SessionId id, ServerNumber server, int rung) override;
@@ -76,10 +77,10 @@
         std::optional<Attempt> waits;  // for its record
     };
     bool is_paid(const std::string& class_name) const;
-    bool may_take_new(ServerNumber server) const;
+    bool may_take_new(ServerNumber number) const;
     store::SessionRecord record_of(SessionId id, const Kept& kept, store::Phase phase) const;
     void kept(SessionId id, bool is);
-    void forget(SessionId id);
+    void drop(SessionId id);  // its entry and its record
 
     net::Loop& loop_;
     Log& log_;
--- a/src/agent/server_connections.h
+++ b/src/agent/server_connections.h
@@ -84,7 +84,7 @@
 };
 
 // One connection to a server.
-class ServerConnections::Link : public net::Connection::Owner {
+class ServerConnections::Link final : public net::Connection::Owner {
 public:
     Link(ServerConnections& all, ServerNumber number, const net::Address& address);
 
--- a/src/agent/server_links.h
+++ b/src/agent/server_links.h
@@ -36,14 +36,14 @@
     GivenUp give_up(SessionId id) override;
     void set_rung(SessionId id, int rung) override;
     void end_session(SessionId id) override;
-    void adopt(SessionId id, ServerNumber server) override;
+    void adopt(SessionId id, ServerNumber number) override;
     void forget(SessionId id) override { erase(id); }
-    bool hands_over(ServerNumber server) const override;
-    void hand_over(const HandoverWord& word) override;
-    void rehome(SessionId id, ServerNumber server, int rung) override;
+    bool hands_over(ServerNumber number) const override;
+    void hand_over(const HandoverWord& said) override;
+    void rehome(SessionId id, ServerNumber number, int rung) override;
     void set_epoch(SessionId id, std::uint64_t epoch) override;
-    void end_at(SessionId id, ServerNumber server, std::uint64_t epoch) override;
-    void probe(ServerNumber server) override;
+    void end_at(SessionId id, ServerNumber number, std::uint64_t epoch) override;
+    void probe(ServerNumber number) override;
     void close_idle(ServerNumber server) override { connections_.close_idle(server); }
 
 private:
--- a/src/agent/session_table.cpp
+++ b/src/agent/session_table.cpp
@@ -9,7 +9,6 @@
 
 using cinderfront::Ending;
 using cinderfront::LoadReport;
-using cinderfront::ServerState;
 
 namespace {
 
--- a/src/codec/feed_codec.cpp
+++ b/src/codec/feed_codec.cpp
@@ -69,56 +69,57 @@
 }
 
 std::size_t FeedParser::step(std::string_view bytes, std::vector<FeedEvent>& events) {
+    if (phase_ == Phase::Complete) return bytes.size();
+    if (phase_ == Phase::Chunk || phase_ == Phase::Body) return payload(bytes, events);
+    if (phase_ == Phase::ChunkSize) head_ = 0;
     std::size_t used = 0;
+    if (!line(bytes, used)) return used;
+    phase_ = after_line();
+    line_.clear();
+    return used;
+}
+
+// The phase that follows the line just read.
+FeedParser::Phase FeedParser::after_line() {
     switch (phase_) {
         case Phase::Status:
-            if (!line(bytes, used)) return used;
-            if (!line_.starts_with("HTTP/1.") ||
-                (line_ + " ").find(" 200 ") != std::string_view("HTTP/1.x").size()) {
-                malformed("the feed answers '" + line_.substr(0, 40) + "'");
-            }
-            phase_ = Phase::Headers;
-            break;
+            check_status();
+            return Phase::Headers;
         case Phase::Headers:
-            if (!line(bytes, used)) return used;
             if (!line_.empty()) {
                 header();
-            } else if (chunked_) {
-                phase_ = Phase::ChunkSize;
-            } else {
-                phase_ = left_ == 0 ? Phase::Complete : Phase::Body;
+                return Phase::Headers;
             }
-            break;
+            if (chunked_) return Phase::ChunkSize;
+            return left_ == 0 ? Phase::Complete : Phase::Body;
         case Phase::ChunkSize: {
-            head_ = 0;
-            if (!line(bytes, used)) return used;
             const auto size = parse_hex(trim(line_.substr(0, line_.find(';'))));
             if (!size) malformed("a bad chunk size");
             left_ = *size;
-            phase_ = *size == 0 ? Phase::Trailers : Phase::Chunk;
-            break;
+            return *size == 0 ? Phase::Trailers : Phase::Chunk;
         }
         case Phase::Trailers:
-            if (!line(bytes, used)) return used;
-            if (line_.empty()) phase_ = Phase::Complete;
-            break;
+            return line_.empty() ? Phase::Complete : Phase::Trailers;
         case Phase::ChunkEnd:
-            if (!line(bytes, used)) return used;
             if (!line_.empty()) malformed("a chunk is longer than its size");
-            phase_ = Phase::ChunkSize;
-            break;
-        case Phase::Chunk:
-        case Phase::Body:
-            used =
-                static_cast<std::size_t>(std::min<std::uint64_t>(left_.value_or(bytes.size()), bytes.size()));
-            body(bytes.substr(0, used), events);
-            if (left_) *left_ -= used;
-            if (left_ == 0) phase_ = phase_ == Phase::Chunk ? Phase::ChunkEnd : Phase::Complete;
-            return used;
-        case Phase::Complete:
-            return bytes.size();
+            return Phase::ChunkSize;
+        default:  // not read by lines
+            return phase_;
     }
-    line_.clear();
+}
+
+void FeedParser::check_status() const {
+    const bool ok =
+        line_.starts_with("HTTP/1.") && (line_ + " ").find(" 200 ") == std::string_view("HTTP/1.x").size();
+    if (!ok) malformed("the feed answers '" + line_.substr(0, 40) + "'");
+}
+
+std::size_t FeedParser::payload(std::string_view bytes, std::vector<FeedEvent>& events) {
+    const std::uint64_t wanted = left_.value_or(bytes.size());
+    const auto used = static_cast<std::size_t>(std::min<std::uint64_t>(wanted, bytes.size()));
+    body(bytes.substr(0, used), events);
+    if (left_) *left_ -= used;
+    if (left_ == 0) phase_ = phase_ == Phase::Chunk ? Phase::ChunkEnd : Phase::Complete;
     return used;
 }
 
--- a/src/codec/feed_codec.h
+++ b/src/codec/feed_codec.h
@@ -26,7 +26,10 @@
     enum class Phase { Status, Headers, Body, ChunkSize, Chunk, ChunkEnd, Trailers, Complete };
     std::size_t step(std::string_view bytes, std::vector<FeedEvent>& events);
     bool line(std::string_view& bytes, std::size_t& used);
+    Phase after_line();
+    void check_status() const;
     void header();
+    std::size_t payload(std::string_view bytes, std::vector<FeedEvent>& events);
     void body(std::string_view bytes, std::vector<FeedEvent>& events);
     void event_line(std::vector<FeedEvent>& events);
 
--- a/src/codec/viewer_codec.cpp
+++ b/src/codec/viewer_codec.cpp
@@ -7,16 +7,14 @@
 
 constexpr std::size_t length_size = 2, session_size = 8, head_size = 1 + session_size;
 
-enum Code : std::uint8_t {
-    class_code = 64,
-    wait_code = 66,
-    title_code = 72,
-    figures_code = 74,
-    stay_away_code = 76,
-    hint_code = 84,
-    cause_code = 92,
-    description_code = 94,
-};
+constexpr std::uint8_t class_code = 64;
+constexpr std::uint8_t wait_code = 66;
+constexpr std::uint8_t title_code = 72;
+constexpr std::uint8_t figures_code = 74;
+constexpr std::uint8_t stay_away_code = 76;
+constexpr std::uint8_t hint_code = 84;
+constexpr std::uint8_t cause_code = 92;
+constexpr std::uint8_t description_code = 94;
 
 // Takes big-endian numbers and byte runs off the front.
 class Reader {
@@ -43,7 +41,7 @@
     for (std::size_t i = size; i-- > 0;) out.push_back(static_cast<char>(value >> (8 * i)));
 }
 
-void put(std::string& out, Code code, std::string_view value) {
+void put(std::string& out, std::uint8_t code, std::string_view value) {
     if (value.size() > max_message) oversized("a parameter passes the limit of a message");
     put(out, code, 1);
     put(out, value.size(), 2);
--- a/src/fleet/message.cpp
+++ b/src/fleet/message.cpp
@@ -1,6 +1,7 @@
 #include "message.h"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 #include "fleet/cbor.h"
@@ -46,7 +47,7 @@
 // [zone, ages of machine and agent in ms, revision, stage, pressed, [server, ms, server, ms, ...]]
 json written(const Status& status) {
     const auto ms = [](double seconds) {
-        return static_cast<std::uint64_t>(std::max(0.0, seconds) * 1000 + 0.5);
+        return static_cast<std::uint64_t>(std::llround(std::max(0.0, seconds) * 1000));
     };
     json runs = json::array();
     for (const auto& [server, seconds] : status.runs) {
--- a/src/handover/move.cpp
+++ b/src/handover/move.cpp
@@ -11,9 +11,9 @@
 using enum Order;
 
 struct Row {
-    Step from;
-    Input input;
-    Step to;
+    Step from = Step::Preparing;
+    Input input = Input::Prepared;
+    Step to = Step::Preparing;
     std::array<Order, 2> orders{};
     std::size_t count = 0;
 };
--- a/src/net/buffer_pool.cpp
+++ b/src/net/buffer_pool.cpp
@@ -25,7 +25,8 @@
 BufferPool::Lease BufferPool::lease() {
     std::unique_ptr<Buffer> buffer;
     if (idle_.empty()) {
-        buffer.reset(new Buffer);  // not value-initialised: the bytes are written before they are read
+        // Not value-initialised: the bytes are written before they are read.
+        buffer.reset(new Buffer);  // NOLINT(modernize-make-unique): that would clear them
     } else {
         buffer = std::move(idle_.back());
         idle_.pop_back();
--- a/src/net/buffer_pool.h
+++ b/src/net/buffer_pool.h
@@ -12,8 +12,8 @@
 constexpr std::size_t buffer_size = 16 * 1024;
 
 // Bytes between `begin` and `end`, read at the front and filled at the back.
-struct Buffer {
-    std::array<char, buffer_size> bytes;
+struct Buffer {  // NOLINT(cppcoreguidelines-pro-type-member-init): so that a lease costs no clearing
+    std::array<char, buffer_size> bytes;  // not value-initialised: written before they are read
     std::size_t begin = 0, end = 0;
 
     std::string_view held() const { return {bytes.data() + begin, end - begin}; }
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -10,7 +10,7 @@
 
 namespace jasperspread::net {
 
-class Connection : private Ready {
+class Connection final : private Ready {
 public:
     enum class End {
         Refused,      // never came up, and the peer said so
--- a/src/net/datagrams.cpp
+++ b/src/net/datagrams.cpp
@@ -16,6 +16,7 @@
 void Datagrams::ready(short) {
     // So many in a turn at most: the rest of the loop has its turn too.
     constexpr int most_in_turn = 64;
+    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-member-init): filled by the kernel
     std::array<char, 2048> bytes;  // more than any datagram that is good
     for (int i = 0; i < most_in_turn; ++i) {
         Address from;
--- a/src/ops/operator_file.cpp
+++ b/src/ops/operator_file.cpp
@@ -56,7 +56,7 @@
 
 template <typename Section>
 Key text(const char* section, Section OperatorSettings::*in, const char* name, std::string Section::*field,
-         std::set<std::string> allowed, const char* meaning) {
+         const std::set<std::string>& allowed, const char* meaning) {
     return {section,
             name,
             "text",
@@ -133,20 +133,19 @@
         [=](const OperatorSettings& settings) { return shown(static_cast<double>(settings.*in.*field)); }};
 }
 
-std::vector<Key> keys() {
-    using H = handover::Settings;
+std::vector<Key> log_keys() {
     const auto log = &OperatorSettings::log;
-    const auto move = &OperatorSettings::handover;
-    using F = fleet::Settings;
-    const auto peers = &OperatorSettings::fleet;
-    using S = store::Settings;
-    const auto kept = &OperatorSettings::store;
-    using R = recovery::Settings;
-    const auto back = &OperatorSettings::recovery;
     return {
         flag("log", log, "json", &LogSettings::json, "each line of the log is one JSON object"),
         text("log", log, "level", &LogSettings::level, {"debug", "info", "warn", "err"},
              "lines of a lower level stay out"),
+    };
+}
+
+std::vector<Key> handover_keys() {
+    using H = handover::Settings;
+    const auto move = &OperatorSettings::handover;
+    return {
         flag("handover", move, "enabled", &H::enabled, "move sessions between servers that support it"),
         text("handover", move, "key_file", &H::key_file, {},
              "file with the tickets' key: 64 hex digits, the same at the lesson servers"),
@@ -177,6 +176,13 @@
                "a target that failed is left alone so long, twice as long each time"),
         number("handover", move, "back_off_most_s", &H::back_off_most_s, 0, 3600, "s",
                "and this long at most"),
+    };
+}
+
+std::vector<Key> fleet_keys() {
+    using F = fleet::Settings;
+    const auto peers = &OperatorSettings::fleet;
+    return {
         text("fleet", peers, "key_file", &F::key_file, {},
              "file with the agents' key: 64 hex digits, the same at all; without it they don't talk"),
         address("fleet", peers, "listen", &F::listen, "address for datagrams from other agents"),
@@ -194,6 +200,13 @@
                "one that is dead, or a seed, is asked to join so often"),
         number("fleet", peers, "forget_s", &F::forget_s, 1, 86400, "s",
                "the dead are remembered for so long"),
+    };
+}
+
+std::vector<Key> store_keys() {
+    using S = store::Settings;
+    const auto kept = &OperatorSettings::store;
+    return {
         text("store", kept, "folder", &S::folder, {},
              "folder for what is remembered, of this agent alone; without it nothing is"),
         text("store", kept, "boot_file", &S::boot_file, {},
@@ -210,6 +223,13 @@
                "a control feed that is behind the remembered list is believed after so long"),
         number("store", kept, "claim_s", &S::claim_s, 0.5, 600, "s",
                "after a return: what no viewer names within so long is released"),
+    };
+}
+
+std::vector<Key> recovery_keys() {
+    using R = recovery::Settings;
+    const auto back = &OperatorSettings::recovery;
+    return {
         text("recovery", back, "order", &R::order, {"off", "delay", "strict", "alone", "fleet"},
              "in which service returns after a power loss (docs/design/recovery.md)"),
         text("recovery", back, "uptime_file", &R::uptime_file, {},
@@ -239,6 +259,14 @@
     };
 }
 
+// All keys, in the order in which they are explained.
+std::vector<Key> keys() {
+    std::vector<Key> all = log_keys();
+    for (const auto& section : {handover_keys(), fleet_keys(), store_keys(), recovery_keys()})
+        all.insert(all.end(), section.begin(), section.end());
+    return all;
+}
+
 std::string place(const std::string& file, const YAML::Mark& mark, const std::string& key) {
     return file + ":" + std::to_string(mark.line + 1) + ": " + key + ": ";
 }
--- a/src/ops/program.cpp
+++ b/src/ops/program.cpp
@@ -38,7 +38,7 @@
 
 // The text of a file that holds keys. Throws where it can't be used.
 std::string key_of(const std::string& path, const std::string& key) {
-    const std::string text = text_of(path, key);
+    std::string text = text_of(path, key);
     try {
         keys::MacKeys check(text);
     } catch (const keys::KeyError& error) {
--- a/src/ops/signals.cpp
+++ b/src/ops/signals.cpp
@@ -36,7 +36,7 @@
 }
 
 void Signals::ready(short) {
-    signalfd_siginfo info;
+    signalfd_siginfo info{};
     while (read(fd_.get(), &info, sizeof info) == static_cast<ssize_t>(sizeof info)) {
         told_(static_cast<int>(info.ssi_signo));
     }
--- a/src/ops/store_command.h
+++ b/src/ops/store_command.h
@@ -4,7 +4,7 @@
 #include <iosfwd>
 #include <string>
 
-namespace CLI {
+namespace CLI {  // NOLINT(readability-identifier-naming): the library's
 class App;
 }
 
--- a/src/policy/brain.h
+++ b/src/policy/brain.h
@@ -208,7 +208,7 @@
             for (const std::uint64_t id : server->sessions) {
                 Session& s = sessions.at(id);
                 over += s.rate * (1 - factor);
-                if (s.playing && s.rung < rungs()) own.push_back({&s, s.rung});
+                if (s.playing && s.rung < rungs()) own.emplace_back(&s, s.rung);
             }
         }
         while (over > 0) {
--- a/src/recovery/returning.cpp
+++ b/src/recovery/returning.cpp
@@ -90,7 +90,7 @@
 }
 
 // What becomes of one that nobody has claimed in time. `answered`: by all who could hold it.
-Fate Returning::fate_of(const Waiting& waiting, bool answered) const {
+Fate Returning::fate_of(const Waiting& waiting, bool answered) {
     SessionWords words = waiting.words;
     words.waited = true;
     words.unclaimed = answered;
--- a/src/recovery/returning.h
+++ b/src/recovery/returning.h
@@ -83,7 +83,7 @@
     };
     void settle(SessionId id, Fate fate);
     bool all_answered(const Part& part) const;
-    Fate fate_of(const Waiting& waiting, bool answered) const;
+    static Fate fate_of(const Waiting& waiting, bool answered);
 
     const ReturnSettings set_;
     const double claims_end_;
--- a/tests/fleet/membership_test.cpp
+++ b/tests/fleet/membership_test.cpp
@@ -5,7 +5,6 @@
 #include "lab/sim/talk_world.h"
 
 using namespace lab;
-using jasperspread::fleet::Health;
 
 namespace {
 
--- a/tests/fleet/seal_test.cpp
+++ b/tests/fleet/seal_test.cpp
@@ -75,6 +75,7 @@
     for (int round = 0; round < 50; ++round) {
         Seal from = seal_of("n1", 11), to = seal_of("n2", 22);
         std::vector<std::string> sent;
+        sent.reserve(300);
         for (int i = 0; i < 300; ++i) sent.push_back(from.close(22, std::to_string(i)));
         // Each comes some places early or late, some twice, some never.
         std::vector<std::pair<double, std::size_t>> order;
--- a/tests/handover/explore.cpp
+++ b/tests/handover/explore.cpp
@@ -83,7 +83,8 @@
     }
     put((s.agent_alive ? 1U : 0U) + (s.viewer_there ? 2U : 0U) + 4U * static_cast<unsigned>(s.at + 1));
     put(s.epoch);
-    put(static_cast<std::uint64_t>(s.moves_begun * 16 + s.repeats * 4 + s.faults));
+    put(static_cast<std::uint64_t>(s.moves_begun) * 16 + static_cast<std::uint64_t>(s.repeats) * 4 +
+        static_cast<std::uint64_t>(s.faults));
     for (const Message& m : s.air) {
         put(static_cast<std::uint64_t>(m.verb) + 16U * static_cast<unsigned>(m.server) + 32U * m.to_server +
             64U * m.finish);
--- a/tests/handover/planner_test.cpp
+++ b/tests/handover/planner_test.cpp
@@ -11,6 +11,7 @@
 
 std::vector<Standing> sessions_at(ServerNumber server, SessionNumber first, int count, bool leaving = false) {
     std::vector<Standing> list;
+    list.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) list.push_back({first + static_cast<SessionNumber>(i), server, leaving});
     return list;
 }
--- a/tests/lab/handover_test.cpp
+++ b/tests/lab/handover_test.cpp
@@ -34,6 +34,7 @@
     SessionId id = 0;
     explicit Stage(const WorldPlan& plan = small_plan(), double length_s = 60) : world(plan) {
         world.run_for(1);
+        // NOLINTNEXTLINE(cppcoreguidelines-prefer-member-initializer): only once the world has run
         id = world.viewers(0).ask(0, length_s);
         world.run_for(2);
     }
@@ -259,8 +260,8 @@
 
 // Many sessions at a server whose link is cut down, and one other that is there, just started. Gives what
 // came of the moves into it.
-Ledger::Sums moves_into_a_cold_server(int agents,
-                                      std::function<std::unique_ptr<jasperspread::agent::Between>()> how) {
+Ledger::Sums moves_into_a_cold_server(
+    int agents, const std::function<std::unique_ptr<jasperspread::agent::Between>()>& how) {
     WorldPlan plan = small_plan();
     plan.agents = agents;
     plan.servers = plan.cells = plan.copies = 2;
--- a/tests/lab/processes_test.cpp
+++ b/tests/lab/processes_test.cpp
@@ -182,26 +182,26 @@
         world = std::make_unique<SocketWorld>(plan, SocketOptions{JASPERSPREAD_SOUND, folder.path, true});
         world->set_lossy({0.1, 0.05, 0.05, 0.3});
     }
-    std::size_t said(int by, const std::string& what, int of) {
+    std::size_t said(int by, const std::string& what, int of) const {
         return world->process(by).logged("fleet what=" + what + " name=n" + std::to_string(of) + " ");
     }
     // All others have said this of one agent, so many times.
-    bool all_said(const std::string& what, int of, std::size_t times = 1) {
+    bool all_said(const std::string& what, int of, std::size_t times = 1) const {
         for (int by = 0; by < plan.agents; ++by) {
             if (by != of && said(by, what, of) < times) return false;
         }
         return true;
     }
-    bool waits_for(const std::function<bool()>& done) {
+    bool waits_for(const std::function<bool()>& done) const {
         constexpr double longest_s = 60;
         return world->run_until(done, longest_s);
     }
-    std::size_t deaths() {
+    std::size_t deaths() const {
         std::size_t sum = 0;
         for (int by = 0; by < plan.agents; ++by) sum += world->process(by).logged("fleet what=died ");
         return sum;
     }
-    bool all_joined() {
+    bool all_joined() const {
         for (int of = 0; of < plan.agents; ++of) {
             if (!all_said("joined", of)) return false;
         }
@@ -358,16 +358,16 @@
         world = std::make_unique<SocketWorld>(
             plan, SocketOptions{JASPERSPREAD_BROKEN, folder.path, true, 0.0005, "", true});
     }
-    std::size_t said(int agent, const std::string& text) { return world->process(agent).logged(text); }
-    bool waits_for(const std::function<bool()>& done) { return world->run_until(done, 60); }
-    bool all_joined() {
+    std::size_t said(int agent, const std::string& text) const { return world->process(agent).logged(text); }
+    bool waits_for(const std::function<bool()>& done) const { return world->run_until(done, 60); }
+    bool all_joined() const {
         const int agents = world->plan().agents;
         for (int agent = 0; agent < agents; ++agent) {
             if (said(agent, "what=joined") < static_cast<std::size_t>(agents - 1)) return false;
         }
         return true;
     }
-    bool scope_is(std::initializer_list<int> agents, const std::string& scope) {
+    bool scope_is(std::initializer_list<int> agents, const std::string& scope) const {
         return std::all_of(agents.begin(), agents.end(),
                            [&](int agent) { return said(agent, " scope is=" + scope) > 0; });
     }
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -307,8 +307,8 @@
         f.ends(now + 0.05, id - 1, 1, Ending::Delivered);
     }
     EXPECT_GE(free, 9);
-    EXPECT_LE(free, 11);  // two a second, over five
-    EXPECT_LE(held, 25);  // only where links are full
+    EXPECT_LE(free, 11);          // two a second, over five
+    EXPECT_LE(held, 25);          // only where links are full
     EXPECT_GE(told.size(), 20U);  // spread, so that they don't come in one wave
     EXPECT_GE(*told.begin(), 0.5);
     EXPECT_LE(*told.rbegin(), 1.0);
@@ -321,7 +321,7 @@
 struct Fleet {
     Settings settings;
     std::vector<Front> fronts;
-    explicit Fleet(Settings s, std::uint32_t count = 100) : settings(s) {
+    explicit Fleet(Settings s, std::uint32_t count = 100) : settings(std::move(s)) {
         settings.fronts = count;
         for (std::uint32_t i = 0; i < count; ++i) {
             settings.position = i;
@@ -368,7 +368,7 @@
                 if (sent_to(f.ask(now, ++id, 0)) == 1U) sends.push_back(now);
             }
         }
-        EXPECT_GE(sends.size(), 6U);  // it does warm
+        EXPECT_GE(sends.size(), 6U);                                  // it does warm
         EXPECT_LE(most_in_a_window(sends, s.fall), 7U) << restarted;  // two turns meet in a window, at most
     }
 }
@@ -425,8 +425,8 @@
         return same;
     };
     EXPECT_EQ(next_goes_to(0.08, 0.3, 0), std::set<bool>{true});
-    EXPECT_EQ(next_goes_to(0.08, 0.3, 5), std::set<bool>{true});    // the connection stands yet
-    EXPECT_EQ(next_goes_to(0.08, 0.85, 0).count(true), 0U);         // full
+    EXPECT_EQ(next_goes_to(0.08, 0.3, 5), std::set<bool>{true});  // the connection stands yet
+    EXPECT_EQ(next_goes_to(0.08, 0.85, 0).count(true), 0U);       // full
     EXPECT_EQ(next_goes_to(0, 0.3, 0), (std::set<bool>{false, true}));
 }
 
@@ -569,7 +569,7 @@
 // A front with `count` sessions handed over at rung `rung` on each of its servers, and the reading of their
 // links.
 Front handed_over(const std::vector<std::uint32_t>& ids, int count, int rung, double link,
-                  Settings s = base_settings()) {
+                  const Settings& s = base_settings()) {
     Front f(s);
     f.servers(0, ids);
     for (std::uint32_t id : ids) {
--- a/tests/recovery/explore_test.cpp
+++ b/tests/recovery/explore_test.cpp
@@ -26,64 +26,89 @@
     std::size_t orders = 0, broken = 0;
 };
 
-// Plays one order of words and judges what became of the session.
-bool breaks(const World& world, const std::vector<Word>& order) {
-    constexpr SessionId id = 1;
-    Returning returning({5, 0, 64, 100}, 0);
-    returning.remember(id, world.intent, world.trust);
-    std::vector<Returning::Done> done;
-    const auto decide = [&](double now) {
-        for (const auto& one : returning.decide(now)) done.push_back(one);
-    };
-    bool claimed = false, ended = false, elsewhere = false, asked_a = false, asked_b = false;
-    double now = 0;
-    for (const Word word : order) {
-        now += 0.5;
-        const bool open = returning.holds(id);
+// One returned agent with one session, and what it was told so far.
+class Play {
+public:
+    explicit Play(const World& world) : world_(world) { returning_.remember(id, world.intent, world.trust); }
+
+    void hear(Word word, double now) {
+        const bool open = returning_.holds(id);
         switch (word) {
             case Word::Claimed:
-                returning.claimed(id);
-                claimed = claimed || open;
+                returning_.claimed(id);
+                claimed_ = claimed_ || open;
                 break;
             case Word::Elsewhere:
-                returning.claimed_elsewhere(id);
-                elsewhere = elsewhere || open;
+                returning_.claimed_elsewhere(id);
+                elsewhere_ = elsewhere_ || open;
                 break;
             case Word::Plays:
-                returning.plays(id);
+                returning_.plays(id);
                 break;
             case Word::Ended:
-                returning.ended(id);
-                ended = ended || open;
+                returning_.ended(id);
+                ended_ = ended_ || open;
                 break;
             case Word::Ask:
-                for (const Question& one : returning.ask(
-                         world.asks_b ? std::vector<std::string>{"a", "b"} : std::vector<std::string>{"a"},
-                         now))
-                    (one.peer == "a" ? asked_a : asked_b) = true;
+                ask(now);
                 break;
             case Word::AnswerA:
-                if (asked_a)
-                    returning.told("a", 0, world.a_holds ? std::vector{id} : std::vector<SessionId>{});
+                if (asked_a_) answer("a", world_.a_holds);
                 break;
             case Word::AnswerB:
-                if (asked_b)
-                    returning.told("b", 0, world.b_holds ? std::vector{id} : std::vector<SessionId>{});
+                if (asked_b_) answer("b", world_.b_holds);
                 break;
             case Word::Decide:
                 decide(now);
         }
     }
-    decide(100);
-    decide(200);
-    if (done.size() != 1) return true;  // one fate, whatever comes
-    const Fate fate = done.front().fate;
-    const bool another = world.a_holds || world.b_holds;
-    if (fate == Fate::Released && another && !elsewhere) return true;  // it plays on there, for its viewer
-    if (fate == Fate::Released && (claimed || ended)) return true;
-    if (claimed != (fate == Fate::Kept)) return true;
-    if (fate == Fate::Failed && !world.intent) return true;
-    return fate == Fate::Left && !another && claimed;
+
+    void decide(double now) {
+        for (const auto& one : returning_.decide(now)) done_.push_back(one);
+    }
+
+    // Judges what became of the session.
+    bool broken() const {
+        if (done_.size() != 1) return true;  // one fate, whatever comes
+        const Fate fate = done_.front().fate;
+        const bool another = world_.a_holds || world_.b_holds;
+        if (fate == Fate::Released && another && !elsewhere_)
+            return true;  // it plays on there, for its viewer
+        if (fate == Fate::Released && (claimed_ || ended_)) return true;
+        if (claimed_ != (fate == Fate::Kept)) return true;
+        if (fate == Fate::Failed && !world_.intent) return true;
+        return fate == Fate::Left && !another && claimed_;
+    }
+
+private:
+    static constexpr SessionId id = 1;
+
+    void ask(double now) {
+        std::vector<std::string> peers = {"a"};
+        if (world_.asks_b) peers.emplace_back("b");
+        for (const Question& one : returning_.ask(peers, now)) (one.peer == "a" ? asked_a_ : asked_b_) = true;
+    }
+    void answer(const std::string& peer, bool holds) {
+        returning_.told(peer, 0, holds ? std::vector{id} : std::vector<SessionId>{});
+    }
+
+    const World& world_;
+    Returning returning_{{5, 0, 64, 100}, 0};
+    std::vector<Returning::Done> done_;
+    bool claimed_ = false, ended_ = false, elsewhere_ = false, asked_a_ = false, asked_b_ = false;
+};
+
+// Plays one order of words and judges what became of the session.
+bool breaks(const World& world, const std::vector<Word>& order) {
+    Play play(world);
+    double now = 0;
+    for (const Word word : order) {
+        now += 0.5;
+        play.hear(word, now);
+    }
+    play.decide(100);
+    play.decide(200);
+    return play.broken();
 }
 
 Explored explore(const World& world) {
--- a/tests/scenarios/scenario.cpp
+++ b/tests/scenarios/scenario.cpp
@@ -19,6 +19,7 @@
 #include <set>
 #include <sstream>
 #include <stdexcept>
+#include <tuple>
 #include <vector>
 
 #include "agent/directory.h"
@@ -188,7 +189,7 @@
         ended = got <= 0;
         return true;
     }
-    void write(std::string_view bytes) {
+    void write(std::string_view bytes) const {
         while (!bytes.empty()) {
             const ssize_t sent = ::send(fd.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
             if (sent <= 0) throw Wrong("the connection is broken");
@@ -228,7 +229,7 @@
         constexpr int more_than_fit = 3;
         for (int i = 0; i < more_than_fit; ++i) {
             fillers.emplace_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-            ::connect(fillers.back().get(), address.raw(), sizeof address.in);
+            std::ignore = ::connect(fillers.back().get(), address.raw(), sizeof address.in);
         }
     }
     void hear_again() {
--- a/tests/store/sqlite_test.cpp
+++ b/tests/store/sqlite_test.cpp
@@ -166,6 +166,7 @@
     SessionId id = 0;
     for (int i = 0; i < 400 && fault == Fault::None; ++i) {
         std::vector<Change> batch;
+        batch.reserve(200);
         for (int j = 0; j < 200; ++j) batch.push_back({++id, encode(record(id))});
         fault = store.apply(batch);
     }
