--- a/lab/sim/talk_world.h
+++ b/lab/sim/talk_world.h
@@ -68,7 +68,7 @@
     };
     Slot& slot(int agent) { return slots_[static_cast<std::size_t>(agent)]; }
     void add_slot(const std::string& name);
-    void end(Slot& slot);
+    static void end(Slot& own);
     bool is_running_life(int by, const Slot& of);
     void said(int by, const std::string& what, const std::string& name);
     std::size_t running() const;
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -309,8 +309,8 @@
         f.ends(now + 0.05, id - 1, 1, Ending::Delivered);
     }
     EXPECT_GE(free, 9);
-    EXPECT_LE(free, 11);  // two a second, over five
-    EXPECT_LE(held, 25);  // only where links are full
+    EXPECT_LE(free, 11);          // two a second, over five
+    EXPECT_LE(held, 25);          // only where links are full
     EXPECT_GE(told.size(), 20U);  // spread, so that they don't come in one wave
     EXPECT_GE(*told.begin(), 0.5);
     EXPECT_LE(*told.rbegin(), 1.0);
@@ -323,7 +323,7 @@
 struct Fleet {
     Settings settings;
     std::vector<Front> fronts;
-    explicit Fleet(Settings s, std::uint32_t count = 100) : settings(s) {
+    explicit Fleet(Settings s, std::uint32_t count = 100) : settings(std::move(s)) {
         settings.fronts = count;
         for (std::uint32_t i = 0; i < count; ++i) {
             settings.position = i;
@@ -483,8 +483,8 @@
         return same;
     };
     EXPECT_EQ(next_goes_to(0.08, 0.3, 0), std::set<bool>{true});
-    EXPECT_EQ(next_goes_to(0.08, 0.3, 5), std::set<bool>{true});    // the connection stands yet
-    EXPECT_EQ(next_goes_to(0.08, 0.85, 0).count(true), 0U);         // full
+    EXPECT_EQ(next_goes_to(0.08, 0.3, 5), std::set<bool>{true});  // the connection stands yet
+    EXPECT_EQ(next_goes_to(0.08, 0.85, 0).count(true), 0U);       // full
     EXPECT_EQ(next_goes_to(0, 0.3, 0), (std::set<bool>{false, true}));
 }
 
@@ -627,7 +627,7 @@
 // A front with `count` sessions handed over at rung `rung` on each of its servers, and the reading of their
 // links.
 Front handed_over(const std::vector<std::uint32_t>& ids, int count, int rung, double link,
-                  Settings s = base_settings()) {
+                  const Settings& s = base_settings()) {
     Front f(s);
     f.servers(0, ids);
     for (std::uint32_t id : ids) {
