Ask for readiness by a kept list, and by epoll above 512 descriptors

Change: net::Poller keeps the list between turns, and above 512 watches has an interest list in the kernel (level-triggered epoll, an addition to net::Kernel), which it gives back at 256. Changes are passed on before the next wait, so that what a turn changes to and fro costs nothing, and a close costs no call. Where the kernel refuses the list or an entry of it, poll(2) stays. Order within a turn, serials against reused numbers, the second look of a process that stood still and the deadlines are as they were. The simulated kernel offers the same without walking its watches, and finds free descriptors, listeners and datagram sockets by an index. A connection keeps its output in a vector, which costs nothing while it rests (a deque kept some 600 bytes).

--- a/lab/sim/network.cpp
+++ b/lab/sim/network.cpp
@@ -100,7 +100,7 @@
     : network_(network),
       address_(address),
       descriptors_(descriptors),
-      loop_(std::make_unique<jasperspread::net::Loop>(*this)) {}
+      loop_(std::make_unique<jasperspread::net::Loop>(*this, network.thresholds_)) {}
 
 Address Host::address(std::uint16_t port) const {
     Address address;
@@ -150,8 +150,12 @@
     pending_.clear();
     for (const auto& [number, socket] : pending) drop(socket, true);
     all_.clear();
+    free_.clear();
+    listeners_.clear();
+    datagram_ports_.clear();
+    next_descriptor_ = first_descriptor;
     destroy();
-    loop_ = std::make_unique<jasperspread::net::Loop>(*this);
+    loop_ = std::make_unique<jasperspread::net::Loop>(*this, network_.thresholds_);
     wake_at_ = 0;
     ++wake_serial_;
     stopped_ = false;
@@ -197,11 +201,9 @@
 
 int Host::give_descriptor(SocketPtr socket) {
     if (sockets_.size() >= descriptors_) return -EMFILE;
-    int fd = first_descriptor;
-    for (const auto& [used, other] : sockets_) {  // the lowest that is free, as everywhere
-        if (used != fd) break;
-        ++fd;
-    }
+    // The lowest that is free, as everywhere.
+    const int fd = free_.empty() ? next_descriptor_++ : free_.extract(free_.begin()).value();
+    socket->fd = fd;
     sockets_.emplace(fd, std::move(socket));
     return fd;
 }
@@ -232,14 +234,75 @@
     return ready;
 }
 
+int Host::create_interest_list() {
+    if (sockets_.size() >= descriptors_) return -EMFILE;
+    return give_descriptor(make_socket(Phase::InterestList));
+}
+
+int Host::set_interest(int list_fd, int fd, short events, std::uint64_t tag, bool is_new) {
+    const auto list = sockets_.find(list_fd);
+    const auto target = sockets_.find(fd);
+    if (list == sockets_.end() || target == sockets_.end()) return -EBADF;
+    if (list->second->phase != Phase::InterestList || list == target) return -EINVAL;
+    auto& interests = list->second->interests;
+    if (interests.contains(fd) == is_new) return is_new ? -EEXIST : -ENOENT;
+    interests[fd] = {events, tag};
+    list->second->candidates.insert(fd);
+    if (is_new) target->second->interested.push_back(list->second);
+    return 0;
+}
+
+int Host::add_interest(int list, int fd, short events, std::uint64_t tag) {
+    return set_interest(list, fd, events, tag, true);
+}
+
+int Host::modify_interest(int list, int fd, short events, std::uint64_t tag) {
+    return set_interest(list, fd, events, tag, false);
+}
+
+int Host::remove_interest(int list_fd, int fd) {
+    const auto list = sockets_.find(list_fd);
+    const auto target = sockets_.find(fd);
+    if (list == sockets_.end() || target == sockets_.end()) return -EBADF;
+    if (list->second->interests.erase(fd) == 0) return -ENOENT;
+    list->second->candidates.erase(fd);
+    std::erase_if(target->second->interested, [&](const auto& one) { return one.lock() == list->second; });
+    return 0;
+}
+
+// What may have become ready is looked at by the next wait() on the lists that it stands in.
+void Host::touched(Socket& socket) {
+    for (const auto& one : socket.interested) {
+        if (const SocketPtr list = one.lock()) list->candidates.insert(socket.fd);
+    }
+}
+
+int Host::wait(int list_fd, jasperspread::net::ReadyEvent* ready, std::size_t room, double) {
+    Socket* list = at(list_fd);
+    if (list == nullptr || list->phase != Phase::InterestList) return -EBADF;
+    std::size_t count = 0;
+    for (auto it = list->candidates.begin(); it != list->candidates.end() && count < room;) {
+        const Interest& interest = list->interests.at(*it);
+        const int events = readiness(*at(*it)) & (interest.events | POLLERR | POLLHUP);
+        if (events == 0) {
+            it = list->candidates.erase(it);
+            continue;
+        }
+        ready[count++] = {interest.tag, static_cast<short>(events)};
+        ++it;
+    }
+    if (count > 0) wake();  // what is not taken now is still ready then
+    return static_cast<int>(count);
+}
+
 int Host::listen(const Address& where) {
     const std::uint16_t port = ntohs(where.in.sin_port);
-    for (const auto& [fd, socket] : sockets_) {
-        if (socket->phase == Phase::Listening && socket->port == port) return -EADDRINUSE;
-    }
+    if (listeners_.contains(port)) return -EADDRINUSE;
     auto socket = make_socket(Phase::Listening);
-    socket->port = port != 0 ? port : next_port_++;
-    return give_descriptor(std::move(socket));
+    const std::uint16_t given = socket->port = port != 0 ? port : next_port_++;
+    const int fd = give_descriptor(std::move(socket));
+    if (fd >= 0) listeners_[given] = fd;
+    return fd;
 }
 
 int Host::accept(int fd) {
@@ -279,13 +342,12 @@
         here->error = error;
         here->peer_host = there;
         here->peer = peer;
+        touched(*here);
         wake();
     };
     network_.carry(*this, *there, network_.arrival(*this, *there, 0), [this, there, own, port, answered] {
-        Socket* listener = nullptr;
-        for (const auto& [other_fd, other] : there->sockets_) {
-            if (other->phase == Phase::Listening && other->port == port) listener = other.get();
-        }
+        const auto listens = there->listeners_.find(port);
+        Socket* listener = listens == there->listeners_.end() ? nullptr : there->at(listens->second);
         const double back = network_.arrival(*there, *this, 0);
         if (listener == nullptr)
             return network_.carry(*there, *this, back, [answered] { answered(0, ECONNREFUSED); });
@@ -297,6 +359,7 @@
         accepted->last_arrival = back;
         there->pending_.emplace(accepted->number, accepted);
         listener->backlog.push_back(accepted->number);
+        there->touched(*listener);
         there->wake();
         network_.carry(*there, *this, back, [answered, number = accepted->number] { answered(number, 0); });
     });
@@ -328,6 +391,7 @@
                        const SocketPtr socket = there->by_number(peer);
                        if (socket != nullptr) {
                            what(*there, *socket);
+                           there->touched(*socket);
                            return there->wake();
                        }
                        if (!data) return;
@@ -336,6 +400,7 @@
                            const SocketPtr sender = by_number(own);
                            if (sender == nullptr) return;
                            sender->reset = true;
+                           touched(*sender);
                            wake();
                        });
                    });
@@ -375,8 +440,10 @@
     if (sockets_.size() >= descriptors_) return -EMFILE;
     auto socket = make_socket(Phase::Datagrams);
     const std::uint16_t port = ntohs(where.in.sin_port);
-    socket->port = port != 0 ? port : next_port_++;
-    return give_descriptor(std::move(socket));
+    const std::uint16_t given = socket->port = port != 0 ? port : next_port_++;
+    const int fd = give_descriptor(std::move(socket));
+    if (fd >= 0) datagram_ports_[given].insert(fd);
+    return fd;
 }
 
 ssize_t Host::receive_from(int fd, char* bytes, std::size_t room, Address& from) {
@@ -408,9 +475,12 @@
                 network_.deaf_.contains({address_, there->address_}))
                 return;
             constexpr std::size_t queue_most = 512;
-            for (const auto& [other_fd, other] : there->sockets_) {
-                if (other->phase != Phase::Datagrams || other->port != ntohs(to.in.sin_port)) continue;
+            const auto bound = there->datagram_ports_.find(ntohs(to.in.sin_port));
+            if (bound == there->datagram_ports_.end()) return;
+            for (const int other_fd : bound->second) {
+                Socket* other = there->at(other_fd);
                 if (other->datagrams.size() < queue_most) other->datagrams.emplace_back(from, text);
+                there->touched(*other);
                 there->wake();
             }
         });
@@ -452,6 +522,15 @@
     if (it == sockets_.end()) return;
     const SocketPtr socket = it->second;
     sockets_.erase(it);
+    free_.insert(fd);
+    if (socket->phase == Phase::Listening) listeners_.erase(socket->port);
+    if (socket->phase == Phase::Datagrams) datagram_ports_[socket->port].erase(fd);
+    for (const auto& one : socket->interested) {
+        const SocketPtr list = one.lock();
+        if (list == nullptr) continue;
+        list->interests.erase(fd);
+        list->candidates.erase(fd);
+    }
     drop(socket, false);
     all_.erase(socket->number);
 }
--- a/lab/sim/network.h
+++ b/lab/sim/network.h
@@ -54,6 +54,11 @@
     double now() override;
     std::uint64_t random() override;
     int poll(pollfd* polled, std::size_t count, double wait_s) override;
+    int create_interest_list() override;
+    int add_interest(int list, int fd, short events, std::uint64_t tag) override;
+    int modify_interest(int list, int fd, short events, std::uint64_t tag) override;
+    int remove_interest(int list, int fd) override;
+    int wait(int list, jasperspread::net::ReadyEvent* ready, std::size_t room, double wait_s) override;
     int listen(const Address& at) override;
     int accept(int fd) override;
     int open_stream() override;
@@ -72,7 +77,11 @@
 
 private:
     friend class Network;
-    enum class Phase { Fresh, Connecting, Up, Failed, Listening, Datagrams };
+    enum class Phase { Fresh, Connecting, Up, Failed, Listening, Datagrams, InterestList };
+    struct Interest {  // of an interest list in a descriptor
+        short events = 0;
+        std::uint64_t tag = 0;
+    };
     struct Socket {
         std::uint64_t number = 0;  // of all that ever were
         Phase phase = Phase::Fresh;
@@ -86,6 +95,13 @@
         int error = 0;
         std::deque<std::pair<Address, std::string>> datagrams;
         double last_arrival = 0;  // of what was sent: later bytes never overtake
+        // Of an interest list: by descriptor, and those of them that may have become ready since they were
+        // last found not to be.
+        std::map<int, Interest> interests;
+        std::set<int> candidates;
+        // Of any other: the lists that it stands in.
+        std::vector<std::weak_ptr<Socket>> interested;
+        int fd = -1;
     };
     using SocketPtr = std::shared_ptr<Socket>;
 
@@ -93,6 +109,8 @@
     Socket* at(int fd);
     SocketPtr by_number(std::uint64_t number);
     short readiness(const Socket& socket) const;
+    void touched(Socket& socket);
+    int set_interest(int list, int fd, short events, std::uint64_t tag, bool is_new);
     void turn();
     void schedule();
     void tell_peer(Socket& from, std::function<void(Host&, Socket&)> what, bool data = false);
@@ -102,9 +120,12 @@
     Network& network_;
     const std::uint32_t address_;
     const std::size_t descriptors_;
-    std::unique_ptr<jasperspread::net::Loop> loop_;
     std::function<bool()> after_turn_;
-    std::map<int, SocketPtr> sockets_;                    // by descriptor
+    std::map<int, SocketPtr> sockets_;        // by descriptor
+    std::map<std::uint16_t, int> listeners_;  // by port
+    std::map<std::uint16_t, std::set<int>> datagram_ports_;
+    std::set<int> free_;                                  // below the highest that was ever given
+    int next_descriptor_ = 3;                             // the lowest that never was
     std::map<std::uint64_t, SocketPtr> pending_;          // in a backlog
     std::map<std::uint64_t, std::weak_ptr<Socket>> all_;  // by number
     std::uint16_t next_port_ = 40000;
@@ -112,6 +133,8 @@
     bool turn_due_ = false;
     double wake_at_ = 0;
     std::uint64_t wake_serial_ = 0;
+    std::unique_ptr<jasperspread::net::Loop>
+        loop_;  // last: it closes its interest list while the rest is there
 };
 
 class Network {
@@ -134,6 +157,8 @@
     void set_lossy(const Lossy& lossy) { lossy_ = lossy; }
     // Datagrams from one to the other are lost; the other way is as it was.
     void cut_one_way(const Host& from, const Host& to, bool is_cut);
+    // For the loops of hosts that are added after this.
+    void set_thresholds(const jasperspread::net::Poller::Thresholds& thresholds) { thresholds_ = thresholds; }
     // Receives and sends end early with this chance.
     void set_short_io(double chance) { short_io_ = chance; }
 
@@ -161,6 +186,7 @@
     std::mt19937_64 random_;
     Delay delay_;
     Lossy lossy_;
+    jasperspread::net::Poller::Thresholds thresholds_;
     std::set<Pair> deaf_;  // from, to
     double now_ = 1.0e9;   // any Unix time will do
     double short_io_ = 0;
--- a/lab/sim/sim_world.cpp
+++ b/lab/sim/sim_world.cpp
@@ -14,8 +14,10 @@
 
 }  // namespace
 
-SimWorld::SimWorld(const WorldPlan& plan, Network::Delay delay)
+SimWorld::SimWorld(const WorldPlan& plan, Network::Delay delay,
+                   const jasperspread::net::Poller::Thresholds& thresholds)
     : plan_(plan), network_(plan.seed, delay), fleet_(plan_), ledger_(plan_) {
+    network_.set_thresholds(thresholds);
     // One feed for all, but where buildings are lost: there each has one of its own.
     feeds_.resize(plan_.agents_recover ? static_cast<std::size_t>(plan_.zones) : 1);
     for (FeedSlot& slot : feeds_) {
--- a/lab/sim/sim_world.h
+++ b/lab/sim/sim_world.h
@@ -18,7 +18,8 @@
 
 class SimWorld final : public World {
 public:
-    explicit SimWorld(const WorldPlan& plan, Network::Delay delay = {});
+    explicit SimWorld(const WorldPlan& plan, Network::Delay delay = {},
+                      const jasperspread::net::Poller::Thresholds& thresholds = {});
     ~SimWorld() override;
 
     void run_for(double seconds) override { network_.run_until(network_.now() + seconds); }
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -157,7 +157,7 @@
         moved = moved || done > 0;
         first.drop(done);
         if (first.begin != first.end) break;
-        out_.pop_front();
+        out_.erase(out_.begin());
     }
     if (out_.empty()) {
         stall_.cancel();
@@ -193,7 +193,7 @@
 }
 
 void Connection::close() {
-    if (fd_) loop_.forget(fd_.get());
+    if (fd_) loop_.forget_closing(fd_.get());
     fd_.reset();
     state_ = State::Closed;
     timer_.cancel();
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -1,8 +1,8 @@
 // A TCP connection as an object with callbacks. Output is bounded; what comes in is kept until it is taken.
 #pragma once
 
-#include <deque>
 #include <string_view>
+#include <vector>
 
 #include "buffer_pool.h"
 #include "loop.h"
@@ -78,7 +78,7 @@
     const Order order_ = Order::Usual;
     bool peer_left_ = false, ends_soon_ = false;
     BufferPool::Lease in_;
-    std::deque<BufferPool::Lease> out_;
+    std::vector<BufferPool::Lease> out_;  // few, and none while it rests: a deque would keep 600 bytes for it
     bool wants_writable_ = false;
     Timer timer_;  // of the connect, of finishing, or of an end that is due
     Timer stall_;
--- a/src/net/datagrams.h
+++ b/src/net/datagrams.h
@@ -14,7 +14,7 @@
     using Heard = std::function<void(std::string_view bytes, const Address& from)>;
     // Throws std::system_error where it can't be bound.
     Datagrams(Loop& loop, const Address& at, Heard heard);
-    ~Datagrams() { loop_.forget(fd_.get()); }
+    ~Datagrams() { loop_.forget_closing(fd_.get()); }
     Datagrams(const Datagrams&) = delete;
     Datagrams& operator=(const Datagrams&) = delete;
 
--- a/src/net/kernel.cpp
+++ b/src/net/kernel.cpp
@@ -24,6 +24,22 @@
     ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
+// Milliseconds for a wait in the kernel, rounded up: no wait ends before its time.
+int to_milliseconds(double wait_s) {
+    return static_cast<int>(std::ceil(wait_s * 1000));
+}
+
+// The events of epoll(7) have the values of poll(2), so that they are passed on as they are.
+static_assert(EPOLLIN == POLLIN && EPOLLOUT == POLLOUT && EPOLLERR == POLLERR && EPOLLHUP == POLLHUP &&
+              EPOLLRDHUP == POLLRDHUP);
+
+int change_interest(int list, int operation, int fd, short events, std::uint64_t tag) {
+    epoll_event event{};
+    event.events = static_cast<std::uint16_t>(events);
+    event.data.u64 = tag;
+    return told(::epoll_ctl(list, operation, fd, &event));
+}
+
 }  // namespace
 
 double SystemKernel::now() {
@@ -39,10 +55,36 @@
 }
 
 int SystemKernel::poll(pollfd* polled, std::size_t count, double wait_s) {
-    const int ready = ::poll(polled, static_cast<nfds_t>(count), static_cast<int>(std::ceil(wait_s * 1000)));
+    const int ready = ::poll(polled, static_cast<nfds_t>(count), to_milliseconds(wait_s));
     return ready < 0 && errno == EINTR ? 0 : told(ready);
 }
 
+int SystemKernel::create_interest_list() {
+    return told(::epoll_create1(EPOLL_CLOEXEC));
+}
+
+int SystemKernel::add_interest(int list, int fd, short events, std::uint64_t tag) {
+    return change_interest(list, EPOLL_CTL_ADD, fd, events, tag);
+}
+
+int SystemKernel::modify_interest(int list, int fd, short events, std::uint64_t tag) {
+    return change_interest(list, EPOLL_CTL_MOD, fd, events, tag);
+}
+
+int SystemKernel::remove_interest(int list, int fd) {
+    return change_interest(list, EPOLL_CTL_DEL, fd, 0, 0);
+}
+
+int SystemKernel::wait(int list, ReadyEvent* ready, std::size_t room, double wait_s) {
+    found_.resize(room);
+    const int count = ::epoll_wait(list, found_.data(), static_cast<int>(room), to_milliseconds(wait_s));
+    if (count < 0) return errno == EINTR ? 0 : told(count);
+    for (int i = 0; i < count; ++i) {
+        ready[i] = {found_[i].data.u64, static_cast<short>(found_[i].events)};
+    }
+    return count;
+}
+
 int SystemKernel::listen(const Address& at) {
     const int fd = open_stream();
     if (fd < 0) return fd;
--- a/src/net/kernel.h
+++ b/src/net/kernel.h
@@ -1,18 +1,27 @@
 // The few calls by which this program meets the kernel, behind one interface that is given to the loop: the
 // service gives the system's, the laboratory a simulated network with its own clock. Errors come back as
-// negative errno values, as from the system calls themselves. No call blocks but poll().
+// negative errno values, as from the system calls themselves. No call blocks but poll() and wait().
 #pragma once
 
 #include <poll.h>
+#include <sys/epoll.h>
 #include <sys/types.h>
 
+#include <cerrno>
 #include <cstddef>
 #include <cstdint>
+#include <vector>
 
 #include "socket.h"
 
 namespace jasperspread::net {
 
+// A descriptor of an interest list that is ready: the tag that it was added with, and events of poll(2).
+struct ReadyEvent {
+    std::uint64_t tag = 0;
+    short events = 0;
+};
+
 class Kernel {
 public:
     virtual ~Kernel() = default;
@@ -22,6 +31,16 @@
     // As poll(2), for `wait_s` at most; an interrupted wait is one that found nothing.
     virtual int poll(pollfd* polled, std::size_t count, double wait_s) = 0;
 
+    // Interest lists, as epoll(7) keeps them, level-triggered: a list is a descriptor of its own, and holds
+    // descriptors, each with the events of poll(2) that are waited for and a tag of the caller's. Errors come
+    // back as negative errno values; a kernel without interest lists says -ENOSYS, as these defaults do.
+    virtual int create_interest_list() { return -ENOSYS; }
+    virtual int add_interest(int, int, short, std::uint64_t) { return -ENOSYS; }
+    virtual int modify_interest(int, int, short, std::uint64_t) { return -ENOSYS; }
+    virtual int remove_interest(int, int) { return -ENOSYS; }
+    // Puts what is ready into `ready`, `room` at most, and returns how many; waits as poll() does.
+    virtual int wait(int, ReadyEvent*, std::size_t, double) { return -ENOSYS; }
+
     virtual int listen(const Address& at) = 0;  // a listening descriptor
     virtual int accept(int fd) = 0;
     virtual int open_stream() = 0;
@@ -47,6 +66,11 @@
     double now() override;
     std::uint64_t random() override;
     int poll(pollfd* polled, std::size_t count, double wait_s) override;
+    int create_interest_list() override;
+    int add_interest(int list, int fd, short events, std::uint64_t tag) override;
+    int modify_interest(int list, int fd, short events, std::uint64_t tag) override;
+    int remove_interest(int list, int fd) override;
+    int wait(int list, ReadyEvent* ready, std::size_t room, double wait_s) override;
     int listen(const Address& at) override;
     int accept(int fd) override;
     int open_stream() override;
@@ -62,6 +86,9 @@
     std::size_t unread(int fd) override;
     void shut_output(int fd) override;
     void close(int fd) override;
+
+private:
+    std::vector<epoll_event> found_;  // of the last wait()
 };
 
 }  // namespace jasperspread::net
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -48,7 +48,7 @@
 void Listener::close() {
     if (!fd_) return;
     ready(POLLIN);
-    loop_.forget(fd_.get());
+    loop_.forget_closing(fd_.get());
     pause_.cancel();
     fd_.reset();
 }
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -18,7 +18,7 @@
         std::function<void()> starved;
     };
     Listener(Loop& loop, const Address& at, Callbacks callbacks);
-    ~Listener() { loop_.forget(fd_.get()); }
+    ~Listener() { loop_.forget_closing(fd_.get()); }
     Listener(const Listener&) = delete;
     Listener& operator=(const Listener&) = delete;
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <system_error>
 
 namespace jasperspread::net {
 namespace {
@@ -32,38 +31,49 @@
 }
 
 void Loop::watch(int fd, short events, Ready& who, Order order) {
-    auto [it, fresh] = watches_.try_emplace(fd);
-    if (fresh) it->second.serial = ++serial_;
-    it->second.events = events;
-    it->second.who = &who;
-    it->second.order = order;
+    const auto index = static_cast<std::size_t>(fd);
+    if (index >= watches_.size()) watches_.resize(index + 1);
+    Watch& watch = watches_[index];
+    if (watch.who == nullptr) watch.serial = ++serial_;
+    watch.who = &who;
+    watch.order = order;
+    poller_.watch(fd, events, watch.serial);
+}
+
+bool Loop::drop(int fd) {
+    const auto index = static_cast<std::size_t>(fd);
+    if (fd < 0 || index >= watches_.size() || watches_[index].who == nullptr) return false;
+    watches_[index].who = nullptr;
+    return true;
+}
+
+void Loop::forget(int fd) {
+    if (drop(fd)) poller_.forget(fd);
+}
+
+void Loop::forget_closing(int fd) {
+    drop(fd);
+    poller_.forget_closing(fd);
+}
+
+// An earlier callback of the turn may have closed it, and a new descriptor may have got its number.
+Ready* Loop::waits_for(const Poller::Ready& ready, Order order) const {
+    const Watch& watch = watches_[static_cast<std::size_t>(ready.fd)];
+    return watch.serial == ready.serial && watch.order == order ? watch.who : nullptr;
 }
 
 void Loop::turn(double longest_s) {
-    std::vector<pollfd> polled;
-    std::vector<std::uint64_t> serials;
-    polled.reserve(watches_.size());
-    serials.reserve(watches_.size());
-    for (const auto& [fd, watch] : watches_) {
-        polled.push_back({fd, watch.events, 0});
-        serials.push_back(watch.serial);
-    }
     const double began = now();
     const double wait = std::clamp(deadlines_.next() - began, 0.0, longest_s);
-    int count = kernel_.poll(polled.data(), polled.size(), wait);
+    std::span<const Poller::Ready> ready = poller_.wait(wait);
     // Guards against a process that stood still, in its wait or after it: what came in time is met before the
-    // deadlines that have passed meanwhile. Only those that were due when poll had looked are met this turn.
+    // deadlines that have passed meanwhile. Only those that were due when the kernel had looked are met this
+    // turn.
     const double looked = now();
-    if (looked > began + wait + stood_still_s) count = kernel_.poll(polled.data(), polled.size(), 0);
-    if (count < 0) throw std::system_error(-count, std::generic_category(), "poll");
+    if (looked > began + wait + stood_still_s) ready = poller_.wait(0);
     for (const Order order : {Order::Early, Order::Usual, Order::Late}) {
-        for (std::size_t i = 0; count > 0 && i < polled.size(); ++i) {
-            if (polled[i].revents == 0) continue;
-            const auto it = watches_.find(polled[i].fd);
-            // An earlier callback of this turn may have closed it, and a new one may have got its number.
-            if (it == watches_.end() || it->second.serial != serials[i] || it->second.order != order)
-                continue;
-            it->second.who->ready(polled[i].revents);
+        for (const Poller::Ready& one : ready) {
+            if (Ready* who = waits_for(one, order)) who->ready(one.events);
         }
     }
     deadlines_.sweep(looked);
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -1,5 +1,5 @@
-// One poll(2) loop: descriptors that wait to be ready, and deadlines in one sorted structure that every turn
-// sweeps. All times are Unix time in seconds, by the clock of the kernel that the loop was given.
+// One loop: descriptors that wait to be ready, and deadlines in one sorted structure that every turn sweeps.
+// All times are Unix time in seconds, by the clock of the kernel that the loop was given.
 #pragma once
 
 #include <cstdint>
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "kernel.h"
+#include "poller.h"
 
 namespace jasperspread::net {
 
@@ -24,7 +25,7 @@
 
 // In which order descriptors that are ready in the same turn are met, whatever their numbers: what may call
 // work off (a server drains, a viewer has left) comes before what would begin it.
-enum class Order { Early, Usual, Late };
+enum class Order : std::uint8_t { Early, Usual, Late };
 
 class Deadlines {
 public:
@@ -43,13 +44,18 @@
 
 class Loop {
 public:
-    explicit Loop(Kernel& kernel) : kernel_(kernel) {}
+    explicit Loop(Kernel& kernel) : Loop(kernel, Poller::Thresholds()) {}
+    Loop(Kernel& kernel, const Poller::Thresholds& thresholds)
+        : kernel_(kernel), poller_(kernel, thresholds) {}
 
     Kernel& kernel() { return kernel_; }
     double now() { return kernel_.now(); }
     // Waits for `events` on a descriptor; replaces what was waited for before.
     void watch(int fd, short events, Ready& who, Order order = Order::Usual);
-    void forget(int fd) { watches_.erase(fd); }
+    void forget(int fd);
+    void forget_closing(
+        int fd);  // the same, cheaper, for a descriptor that is closed before the turn is over
+    const Poller& poller() const { return poller_; }
     Deadlines& deadlines() { return deadlines_; }
     // Keeps an object alive until the turn is over, for owners that drop it inside one of its callbacks.
     void retire(std::shared_ptr<void> object) { retired_.push_back(std::move(object)); }
@@ -58,14 +64,17 @@
 
 private:
     struct Watch {
-        short events = 0;
-        Ready* who = nullptr;
+        Ready* who = nullptr;       // null: nobody waits for it
+        Poller::Serial serial = 0;  // tells a reused descriptor from the one that was found ready
         Order order = Order::Usual;
-        std::uint64_t serial = 0;  // tells a reused descriptor from the one that was polled
     };
+    bool drop(int fd);
+    Ready* waits_for(const Poller::Ready& ready, Order order) const;
+
     Kernel& kernel_;
-    std::map<int, Watch> watches_;
-    std::uint64_t serial_ = 0;
+    Poller poller_;
+    std::vector<Watch> watches_;  // by descriptor
+    Poller::Serial serial_ = 0;
     Deadlines deadlines_;
     std::vector<std::shared_ptr<void>> retired_;
 };
