Keep orders of connections, owed ends and sessions in place of walks

Cause: room for a newcomer at the bound looked at each connection, with a call (FIONREAD) for each that rested; each close and each 50 ms tick looked at every end that was owed, so that a zone that returns cost the square; each end that was told looked at each connection; each list event, and each server that had gone, looked at every session.

Change, with the same decisions: agent/connection_ranking orders the connections by which is closed first and which is told first; agent/retransmit_queue keeps what viewers have not acknowledged by age, by when it is due and by connection; reading a set-up message has its own module; ServerLinks files its entries under their servers, standing ones by their time. A server's sessions that end by one list event are now ended by server and by number, where they came in the order of a hash table.

--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -120,7 +120,7 @@
         } else if (state == State::Queued) {
             // Not a byte of it has gone out: it may take another connection.
             const Attempt attempt = it->second.attempt;
-            entries_.erase(it);
+            erase(id);
             set_up(attempt);
         }
     }
@@ -129,7 +129,10 @@
 // The process at a server is gone, and with it what stood there.
 void ServerLinks::all_over(ServerNumber number) {
     connections_.drop_words(number);
-    for (const SessionId id : std::exchange(servers_[number].standing, {})) {
+    std::vector<SessionId> over;
+    for (const auto& [since, id] : std::exchange(servers_[number].standing, {})) over.push_back(id);
+    std::sort(over.begin(), over.end());
+    for (const SessionId id : over) {
         erase(id);
         events_.session_ended(id, Ending::Dropped, {});
     }
@@ -137,12 +140,15 @@
 
 void ServerLinks::listed() {
     std::vector<SessionId> unsent, cut;
-    for (const auto& [id, entry] : entries_) {
-        const KnownServer* known = directory_.find(entry.attempt.server);
-        if (entry.state == State::Queued && !known->may_take_new()) unsent.push_back(id);
+    for (const auto& [number, at] : servers_) {
+        const KnownServer* known = directory_.find(number);
+        if (known == nullptr) continue;
+        if (!known->may_take_new()) unsent.insert(unsent.end(), at.queued.begin(), at.queued.end());
         // A process that started after the session did can't hold it.
-        const bool later = known->entry.last_start && *known->entry.last_start > entry.since;
-        if (entry.state == State::Standing && later) cut.push_back(id);
+        for (const auto& [since, id] : at.standing) {
+            if (!known->entry.last_start || *known->entry.last_start <= since) break;
+            cut.push_back(id);
+        }
     }
     for (const SessionId id : unsent) attempt_over(id, Ending::Unused, {});
     for (const SessionId id : cut) {
@@ -152,8 +158,8 @@
 }
 
 bool ServerLinks::holds(ServerNumber number) {
-    const auto there = [&](const auto& entry) { return entry.second.attempt.server == number; };
-    if (std::any_of(entries_.begin(), entries_.end(), there)) return true;
+    const auto it = servers_.find(number);
+    if (it != servers_.end() && it->second.holds_any()) return true;
     if (connections_.holds(number)) return true;
     servers_.erase(number);
     return false;
@@ -165,9 +171,10 @@
     std::vector<std::pair<ServerNumber, double>> list;
     for (const auto& [number, at] : servers_) {
         double since = loop_.now();
-        for (const SessionId id : at.standing) {
-            const Entry& entry = entries_.at(id);
-            if (entry.noted >= lately) since = std::min(since, entry.since);
+        for (const auto& [stands_since, id] : at.standing) {
+            if (entries_.at(id).noted < lately) continue;
+            since = std::min(since, stands_since);
+            break;
         }
         if (since < loop_.now()) list.emplace_back(number, since);
     }
@@ -177,8 +184,8 @@
 // ---- Set-ups ----
 
 void ServerLinks::set_up(const Attempt& attempt) {
-    Entry& entry = entries_[attempt.id];
-    entry = Entry{attempt, State::Queued, connections_.for_set_up(attempt.server), loop_.now()};
+    Link* const free = connections_.for_set_up(attempt.server);
+    const Entry& entry = place(attempt.id, Entry{attempt, State::Queued, free, loop_.now()});
     if (entry.link == nullptr) return attempt_over(attempt.id, Ending::Unused, {});
     Link& link = *entry.link;
     link.sessions.insert(attempt.id);
@@ -211,7 +218,7 @@
         message.description = attempt.description;
         try {
             if (!link.connection.offer(encode(message))) return;
-            it->second.state = State::Written;
+            set_state(id, it->second, State::Written);
             link.used = loop_.now();
             link.queue.pop_front();
         } catch (const codec::CodecError&) {  // escaped, the description no longer fits a line
@@ -230,10 +237,39 @@
     const auto it = entries_.find(id);
     if (it == entries_.end()) return;
     if (it->second.link != nullptr) it->second.link->sessions.erase(id);
-    servers_[it->second.attempt.server].standing.erase(id);
+    unfile(id, it->second);
     entries_.erase(it);
 }
 
+ServerLinks::Entry& ServerLinks::place(SessionId id, Entry entry) {
+    const auto [it, fresh] = entries_.try_emplace(id);
+    if (!fresh) unfile(id, it->second);
+    it->second = std::move(entry);
+    file(id, it->second);
+    return it->second;
+}
+
+void ServerLinks::set_state(SessionId id, Entry& entry, State state) {
+    unfile(id, entry);
+    entry.state = state;
+    if (state == State::Standing) entry.since = loop_.now();
+    file(id, entry);
+}
+
+void ServerLinks::file(SessionId id, const Entry& entry) {
+    Server& at = servers_[entry.attempt.server];
+    if (entry.state == State::Queued) at.queued.insert(id);
+    if (entry.state == State::Written) ++at.written;
+    if (entry.state == State::Standing) at.standing.emplace(entry.since, id);
+}
+
+void ServerLinks::unfile(SessionId id, const Entry& entry) {
+    Server& at = servers_[entry.attempt.server];
+    if (entry.state == State::Queued) at.queued.erase(id);
+    if (entry.state == State::Written) --at.written;
+    if (entry.state == State::Standing) at.standing.erase({entry.since, id});
+}
+
 GivenUp ServerLinks::give_up(SessionId id) {
     const auto it = entries_.find(id);
     if (it == entries_.end()) return GivenUp::Queued;
@@ -266,12 +302,13 @@
 }
 
 void ServerLinks::adopt(SessionId id, ServerNumber number) {
-    Entry& entry = entries_[id];
+    Entry entry;
+    if (const auto it = entries_.find(id); it != entries_.end()) entry = it->second;
     entry.attempt.id = id;
     entry.attempt.server = number;
     entry.state = State::Standing;
     entry.since = loop_.now();
-    servers_[number].standing.insert(id);
+    place(id, std::move(entry));
     connections_.heard(number);
     connections_.keep(number);
 }
@@ -288,9 +325,7 @@
                 // It crossed our giving up: what now stands there is released, not passed on.
                 link.connection.send(encode(word(ServerVerb::Finish, id, cause_ok)));
             } else if (entry->state == State::Written) {
-                entry->state = State::Standing;
-                entry->since = loop_.now();
-                servers_[link.server].standing.insert(id);
+                set_state(id, *entry, State::Standing);
                 events_.started(id, message.description.value_or(""));
             }
             break;
@@ -400,8 +435,7 @@
     moved.link = nullptr;
     moved.home_epoch = moved.epoch;
     moved.since = loop_.now();
-    entries_[id] = moved;
-    servers_[number].standing.insert(id);
+    place(id, std::move(moved));
     connections_.keep(number);
 }
 
--- a/src/agent/server_links.h
+++ b/src/agent/server_links.h
@@ -58,7 +58,10 @@
         std::uint64_t home_epoch = 0;  // of the one that brought it to where it stands
     };
     struct Server {
-        std::set<SessionId> standing;
+        std::set<SessionId> queued;
+        std::size_t written = 0;
+        std::set<std::pair<double, SessionId>> standing;  // by the time since when
+        bool holds_any() const { return !queued.empty() || written > 0 || !standing.empty(); }
         bool hands_over = false;                    // it has announced that it can
         std::map<SessionId, std::string> prepares;  // that wait for it to announce that
     };
@@ -78,6 +81,11 @@
     void attempt_over(SessionId id, cinderfront::Ending how, const cinderfront::LoadReport& load);
     void all_over(ServerNumber number);
     void erase(SessionId id);
+    // Entries, and with them what is at each server: all changes of a state or a server go by these.
+    Entry& place(SessionId id, Entry entry);
+    void set_state(SessionId id, Entry& entry, State state);
+    void file(SessionId id, const Entry& entry);
+    void unfile(SessionId id, const Entry& entry);
     void probe_over(SessionId tag, cinderfront::Ending how, const cinderfront::LoadReport& load);
 
     net::Loop& loop_;
--- a/src/agent/viewer_side.cpp
+++ b/src/agent/viewer_side.cpp
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 #include <set>
-#include <tuple>
 #include <utility>
 
+#include "agent/set_up_reader.h"
 #include "codec/error.h"
 
 namespace jasperspread::agent {
@@ -18,7 +18,8 @@
 constexpr std::uint8_t cause_over = 16, cause_broken = 41, cause_refused = 42, test_passed = 1;
 // A viewer hears of an end within so long or never, s. What is not heard is said again after a first pause,
 // which doubles: twice within the second in which it is due, and few times to viewers that never say so.
-constexpr double owed_for_s = 8, first_pause_s = 0.25, look_every_s = 0.05;
+constexpr RetransmitQueue::Times retransmit_times{8, 0.25};
+constexpr double look_every_s = 0.05;
 // A connection must have rested so long before it may make room for a new one, s; one on which nothing has
 // come yet, so long.
 constexpr double rested_s = 0.25, unheard_s = 0.1;
@@ -37,53 +38,6 @@
     return message;
 }
 
-const std::string* figure(const ViewerMessage& message, const char* name) {
-    const auto it = message.figures.find(name);
-    return it == message.figures.end() ? nullptr : &it->second;
-}
-
-std::uint32_t small_figure(const ViewerMessage& message, const char* name, std::size_t least,
-                           std::size_t most) {
-    const std::string* text = figure(message, name);
-    const auto value = text == nullptr ? std::nullopt : codec::parse_number(*text);
-    if (!value) codec::malformed(std::string("a set-up has no ") + name);
-    if (*value < static_cast<double>(least) || *value > static_cast<double>(most)) {
-        codec::malformed(std::string("a set-up's ") + name + " is out of range");
-    }
-    return static_cast<std::uint32_t>(*value);
-}
-
-// What a set-up asks, as the module takes it. Throws CodecError where something needed is not there.
-SetUp read_set_up(const ViewerMessage& message, const Profile& profile, double now) {
-    SetUp set_up;
-    cinderfront::Request& request = set_up.request;
-    request.id = message.session;
-    if (request.id == 0) codec::malformed("a set-up has no id");  // servers close on it, with all open there
-    set_up.class_name = message.class_name.value_or("");
-    set_up.title = message.title.value_or("");
-    set_up.description = message.description.value_or("");
-    const auto& classes = profile.class_names;
-    const auto cls = std::find(classes.begin(), classes.end(), plain_name(set_up.class_name));
-    if (cls == classes.end()) codec::malformed("a set-up names no class of the settings");
-    request.cls = static_cast<std::uint32_t>(cls - classes.begin());
-    const double deadline = profile.settings.classes[request.cls].deadline;
-    if (message.wait_ms && *message.wait_ms <= 0) codec::malformed("a set-up waits for no time");
-    request.not_after = now + std::min(message.wait_ms.value_or(deadline * 1000) / 1000, deadline);
-    if (message.hint_ms && *message.hint_ms >= 0) request.hint = *message.hint_ms / 1000;
-    request.title = codec::parse_hex(set_up.title);
-    if (!request.title) codec::malformed("a set-up names no title");
-    if (const std::string* viewer = figure(message, "viewer")) request.key = codec::parse_hex(*viewer);
-    const std::size_t cells = std::max(1U, profile.settings.cells);
-    request.start_cell = small_figure(message, "home", 0, cells - 1);
-    request.holders = small_figure(message, "copies", 1, cells);
-    const std::size_t rungs = std::max<std::size_t>(1, profile.settings.ladder_kb.size());
-    request.ceiling = static_cast<int>(small_figure(message, "top", 0, rungs - 1));
-    const std::string* again = figure(message, "again");
-    request.repeat = again != nullptr && *again != "0";
-    if (const std::string* at = figure(message, "at")) set_up.playing_at = *at;
-    return set_up;
-}
-
 }  // namespace
 
 // One viewers' connection.
@@ -103,12 +57,13 @@
         if (!connection.is_open()) return bytes.size();
         std::size_t taken = 0;
         used = side_.loop_.now();
+        side_.rerank(*this);
         try {
             while (connection.is_open()) {
                 const auto decoded = codec::decode_viewer(bytes.substr(taken));
                 if (!decoded) break;
                 taken += decoded->size;
-                spoke = true;
+                if (!std::exchange(spoke, true)) side_.rerank(*this);
                 patience_.cancel();
                 side_.take(*this, decoded->message, bytes.substr(taken));
             }
@@ -121,14 +76,24 @@
     }
     void ended(Connection&, Connection::End) override { side_.peer_ended(*this); }
 
-    const std::uint64_t number;
-    double used;                // last traffic
-    bool closing = false;       // from here: it waits for the viewer's close
-    bool spoke = false;         // a whole message has come
-    bool proven = false;        // and what only a viewer does: it was served, or has heard of an end
-    int faults = 0;             // set-ups that nobody can serve
-    std::set<SessionId> open;   // set-ups that are owed an answer here
-    std::set<SessionId> known;  // these and the sessions that were set up here
+    ConnectionRanking::Rank rank() const {
+        using Trust = ConnectionRanking::Trust;
+        const Trust trust = closing  ? Trust::Closing
+                            : !spoke ? Trust::Silent
+                            : proven ? (faults == 0 ? Trust::Served : Trust::ServedFaulty)
+                                     : (faults == 0 ? Trust::Spoken : Trust::Faulty);
+        return {trust, !open.empty(), used, number};
+    }
+
+    const ConnectionRanking::Number number;
+    ConnectionRanking::Rank ranked;  // as the ranking has it
+    double used;                     // last traffic
+    bool closing = false;            // from here: it waits for the viewer's close
+    bool spoke = false;              // a whole message has come
+    bool proven = false;             // and what only a viewer does: it was served, or has heard of an end
+    int faults = 0;                  // set-ups that nobody can serve
+    std::set<SessionId> open;        // set-ups that are owed an answer here
+    std::set<SessionId> known;       // these and the sessions that were set up here
 
 private:
     // Guards against messages that never end and connections that never speak: each holds a descriptor.
@@ -151,7 +116,8 @@
       events_(events),
       profile_(profile),
       most_(most),
-      again_(loop),
+      unacknowledged_(retransmit_times),
+      retransmit_(loop),
       listener_(loop, listen,
                 {[this](net::Fd fd) { accepted(std::move(fd)); }, [this] { return make_room(); },
                  [this] {
@@ -167,7 +133,16 @@
 
 void ViewerSide::accepted(net::Fd fd) {
     const std::uint64_t number = ++came_;
-    peers_.emplace(number, std::make_shared<Peer>(*this, number, std::move(fd)));
+    Peer& peer = *peers_.emplace(number, std::make_shared<Peer>(*this, number, std::move(fd))).first->second;
+    peer.ranked = peer.rank();
+    ranking_.add(peer.ranked);
+}
+
+// To be called after each change of what the ranking goes by.
+void ViewerSide::rerank(Peer& peer) {
+    const auto rank = peer.rank();
+    ranking_.change(peer.ranked, rank);
+    peer.ranked = rank;
 }
 
 // Keeps the viewers' part of the descriptors. At the bound, connections on which nothing has come yet go at
@@ -178,23 +153,38 @@
     // others; but each still holds a descriptor.
     const bool full = peers_.size() - closing_ >= most_.connections;
     if (closing_ < most_.closing && !full) return true;
+    using Trust = ConnectionRanking::Trust;
     const double now = loop_.now();
     std::vector<Peer*> gone;  // at once: nobody was served there, or it has had its time to close
-    Peer* first = nullptr;
-    const auto rank = [](const Peer& peer) { return std::pair(peer.proven, peer.used); };
-    for (const auto& [key, peer] : peers_) {
-        const double rest = peer->spoke && !peer->closing ? rested_s : unheard_s;
-        if (peer->used >= now - rest || !peer->open.empty()) continue;
-        // Guards against closing on a set-up that has come but was not read yet: where the program gets a
-        // part of a core, it may stand still for longer than a connection must rest.
-        if (!peer->closing && peer->connection.has_unread()) continue;
-        if (peer->closing || (full && !peer->spoke)) gone.push_back(peer.get());
-        if (!peer->closing && (first == nullptr || rank(*peer) < rank(*first))) first = peer.get();
+    ranking_.each_rested(Trust::Closing, now - unheard_s, [&](ConnectionRanking::Number number) {
+        gone.push_back(peers_.at(number).get());
+        return true;
+    });
+    // Guards against closing on a set-up that has come but was not read yet: where the program gets a part of
+    // a core, it may stand still for longer than a connection must rest.
+    const auto has_unread = [&](ConnectionRanking::Number number) {
+        return peers_.at(number)->connection.has_unread();
+    };
+    if (full) {
+        ranking_.each_rested(Trust::Silent, now - unheard_s, [&](ConnectionRanking::Number number) {
+            if (!has_unread(number)) gone.push_back(peers_.at(number).get());
+            return true;
+        });
     }
-    if (gone.empty() && full && first != nullptr) {
-        if (!first->proven) gone.push_back(first);
-        if (first->proven && closing_ < most_.closing) close(*first);
+    if (gone.empty() && full) {
+        Peer* first = nullptr;
+        const auto take_first = [&](ConnectionRanking::Number number) {
+            if (!has_unread(number)) first = peers_.at(number).get();
+            return first == nullptr;
+        };
+        ranking_.each_rested(Trust::Faulty, Trust::Spoken, now - rested_s, take_first);
+        if (first != nullptr) gone.push_back(first);
+        if (first == nullptr && closing_ < most_.closing) {
+            ranking_.each_rested(Trust::ServedFaulty, Trust::Served, now - rested_s, take_first);
+            if (first != nullptr) close(*first);
+        }
     }
+    std::sort(gone.begin(), gone.end(), [](const Peer* a, const Peer* b) { return a->number < b->number; });
     for (Peer* peer : gone) {
         peer->connection.close();
         peer_ended(*peer);
@@ -206,6 +196,7 @@
     if (!peer.connection.is_open()) return;
     peer.closing = true;
     peer.used = loop_.now();
+    rerank(peer);
     ++closing_;
     peer.connection.finish();
 }
@@ -223,11 +214,13 @@
         if (it != asked_on_.end()) {
             it->second->open.erase(message.session);
             it->second->known.erase(message.session);
+            rerank(*it->second);
             asked_on_.erase(it);
         }
         events_.given_up(message.session);
     } else if (message.is(ViewerType::ReleaseHeard)) {
-        if (owed_.erase(message.session) > 0) peer.proven = true;
+        if (unacknowledged_.acknowledge(message.session)) peer.proven = true;
+        rerank(peer);
     } else if (message.is(ViewerType::Test)) {
         // `known` was taken in before the first connection could come: this agent is ready.
         peer.connection.send(encode(word(ViewerType::TestResult, message.session, test_passed)));
@@ -257,6 +250,7 @@
     asked_on_[id] = &peer;
     peer.open.insert(id);
     peer.known.insert(id);
+    rerank(peer);
     events_.set_up(set_up);
 }
 
@@ -274,7 +268,9 @@
 // Guards against clients that ask again, at full speed, the moment they are turned away: the module never
 // hears of them, so that they do not count as viewers who want something, and in the end they are closed.
 void ViewerSide::turn_away(Peer& peer, SessionId id, std::uint8_t cause, const char* why) {
-    if (++peer.faults > most_faults) codec::malformed(why);
+    ++peer.faults;
+    rerank(peer);
+    if (peer.faults > most_faults) codec::malformed(why);
     if (peer.faults == 1) log_.warn("set_up_turned_away", {{"why", why}});
     peer.connection.send(encode(word(ViewerType::Release, id, cause)));
 }
@@ -293,15 +289,12 @@
     if (it == peers_.end()) return;
     loop_.retire(it->second);
     peers_.erase(it);
+    ranking_.remove(peer.ranked);
     closing_ -= peer.closing ? 1 : 0;
     for (const SessionId id : peer.known) asked_on_.erase(id);
-    // Guards against a word that crossed the viewer's close and was never read: it is said once more.
-    for (auto& [id, owed] : owed_) {
-        if (owed.on != &peer) continue;
-        owed.on = nullptr;
-        owed.again_at = loop_.now();
-    }
-    say_again();
+    // Guards against a message that crossed the viewer's close and was never read: it is sent once more.
+    unacknowledged_.connection_lost(peer.number, loop_.now());
+    retransmit();
     for (const SessionId id : std::set<SessionId>(peer.open)) events_.given_up(id);
 }
 
@@ -312,6 +305,7 @@
     Peer& peer = *it->second;
     peer.open.erase(id);
     peer.used = loop_.now();
+    rerank(peer);
     if (!message.is(ViewerType::Answer)) {
         peer.known.erase(id);
         asked_on_.erase(it);
@@ -323,7 +317,7 @@
     ViewerMessage message = word(ViewerType::Answer, id);
     message.description = description;
     if (const auto it = asked_on_.find(id); it != asked_on_.end()) it->second->proven = true;
-    answer(id, message);
+    answer(id, message);  // ranks it anew
 }
 
 void ViewerSide::refused(SessionId id, double stay_away_s) {
@@ -344,60 +338,52 @@
         }
         return;
     }
-    owe(id, word(ViewerType::Release, id, how == SessionEnd::Completed ? cause_over : cause_broken));
+    send_until_acknowledged(
+        id, word(ViewerType::Release, id, how == SessionEnd::Completed ? cause_over : cause_broken));
 }
 
 void ViewerSide::moved(SessionId id) {
-    owe(id, word(ViewerType::Move, id));
+    send_until_acknowledged(id, word(ViewerType::Move, id));
 }
 
 // One on which a viewer was served before one that has only spoken: a client that never was would take what
 // it is told for an answer of its own, and one that has only just connected passes it over. Of these the one
 // used last, as the least likely to be closing now.
-ViewerSide::Peer* ViewerSide::any_peer(const Peer* but) {
-    const auto rank = [&](const Peer& peer) {
-        return std::tuple(peer.proven, peer.spoke && peer.faults == 0, &peer != but, peer.used);
-    };
-    Peer* best = nullptr;
-    const double heard_by = loop_.now() - unheard_s;
-    for (const auto& [key, peer] : peers_) {
-        // One that has only just come is about to speak.
-        if (!peer->connection.is_open() || (!peer->spoke && peer->used > heard_by)) continue;
-        if (best == nullptr || rank(*peer) > rank(*best)) best = peer.get();
-    }
-    return best;
+ViewerSide::Peer* ViewerSide::most_trusted_peer(ConnectionRanking::Number not_this) {
+    // A silent one that has only just come is about to speak.
+    const auto number = ranking_.most_trusted(not_this, loop_.now() - unheard_s);
+    return number ? peers_.at(*number).get() : nullptr;
 }
 
 // Says that a session is over, on its own connection or any other one.
-void ViewerSide::owe(SessionId id, const ViewerMessage& message) {
-    Peer* own = nullptr;
+void ViewerSide::send_until_acknowledged(SessionId id, const ViewerMessage& message) {
+    Peer* to = nullptr;
     if (const auto it = asked_on_.find(id); it != asked_on_.end()) {
-        own = it->second->connection.is_open() ? it->second : nullptr;
+        to = it->second->connection.is_open() ? it->second : nullptr;
         it->second->known.erase(id);
         asked_on_.erase(it);
     }
-    const double now = loop_.now();
-    Owed& owed = owed_[id] = Owed{encode(message), now, nullptr, now, first_pause_s};
-    say(owed, own != nullptr ? own : any_peer(nullptr));
-    if (!again_.is_set()) again_.set(now + look_every_s, [this] { say_again(); });
+    if (to == nullptr) to = most_trusted_peer(0);
+    unacknowledged_.add(id, encode(message), loop_.now());
+    if (to != nullptr) send_on(*to, id);
+    if (!retransmit_.is_set()) retransmit_.set(loop_.now() + look_every_s, [this] { retransmit(); });
 }
 
-void ViewerSide::say(Owed& owed, Peer* to) {
-    if (to == nullptr) return;
-    owed.on = to;
-    owed.again_at = loop_.now() + owed.pause;
-    owed.pause *= 2;
-    to->connection.send(owed.bytes);
+void ViewerSide::send_on(Peer& peer, SessionId id) {
+    peer.connection.send(unacknowledged_.send(id, peer.number, loop_.now()));
 }
 
-// Guards against an end that nobody heard: it is said again, on another connection where there is one.
-void ViewerSide::say_again() {
+// Guards against an end that nobody heard: it is sent again, on another connection where there is one.
+void ViewerSide::retransmit() {
     const double now = loop_.now();
-    std::erase_if(owed_, [&](const auto& entry) { return now >= entry.second.since + owed_for_s; });
-    for (auto& [id, owed] : owed_) {
-        if (now >= owed.again_at) say(owed, any_peer(owed.on));
+    unacknowledged_.drop_expired(now);
+    // With nobody to hear them, any number may be due.
+    if (most_trusted_peer(0) != nullptr) {
+        for (const SessionId id : unacknowledged_.due(now)) {
+            if (Peer* to = most_trusted_peer(unacknowledged_.sent_on(id))) send_on(*to, id);
+        }
     }
-    if (!owed_.empty()) again_.set(now + look_every_s, [this] { say_again(); });
+    if (!unacknowledged_.empty()) retransmit_.set(now + look_every_s, [this] { retransmit(); });
 }
 
 }  // namespace jasperspread::agent
--- a/src/agent/viewer_side.h
+++ b/src/agent/viewer_side.h
@@ -1,4 +1,4 @@
-// The viewers' connections: their set-ups, what answers them, and the releases that are owed.
+// The viewers' connections: their set-ups, what answers them, and the ends of sessions that they are told.
 #pragma once
 
 #include <deque>
@@ -8,7 +8,9 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "agent/connection_ranking.h"
 #include "agent/log.h"
+#include "agent/retransmit_queue.h"
 #include "agent/seam.h"
 #include "codec/viewer_codec.h"
 #include "net/buffer_pool.h"
@@ -41,14 +43,9 @@
 
 private:
     class Peer;
-    struct Owed {  // a word on a session that stood, until a viewer has heard it
-        std::string bytes;
-        double since = 0;
-        const Peer* on = nullptr;  // where it was said last; null: nowhere, or that connection has gone
-        double again_at = 0, pause = 0;
-    };
 
     void accepted(net::Fd fd);
+    void rerank(Peer& peer);
     bool make_room();
     void take(Peer& peer, const codec::ViewerMessage& message, std::string_view behind);
     void take_set_up(Peer& peer, const codec::ViewerMessage& message, bool wanted);
@@ -58,10 +55,10 @@
     void break_off(Peer& peer);
     void close(Peer& peer);
     void answer(SessionId id, const codec::ViewerMessage& message);
-    void owe(SessionId id, const codec::ViewerMessage& message);
-    void say(Owed& owed, Peer* to);
-    void say_again();
-    Peer* any_peer(const Peer* but);  // another one than `but`, where there is one
+    void send_until_acknowledged(SessionId id, const codec::ViewerMessage& message);
+    void send_on(Peer& peer, SessionId id);
+    void retransmit();
+    Peer* most_trusted_peer(ConnectionRanking::Number not_this);  // null: there is none
 
     net::Loop& loop_;
     net::BufferPool& pool_;
@@ -72,11 +69,12 @@
     std::size_t closing_ = 0;
     std::map<std::uint64_t, std::shared_ptr<Peer>> peers_;  // in the order in which they came
     std::uint64_t came_ = 0;
+    ConnectionRanking ranking_;
     std::unordered_map<SessionId, Peer*> asked_on_;  // of open set-ups and of sessions that stand
     std::unordered_set<SessionId> seen_;             // ids of set-ups taken lately
     std::deque<SessionId> seen_order_;
-    std::map<SessionId, Owed> owed_;
-    net::Timer again_;  // while something is owed
+    RetransmitQueue unacknowledged_;  // of sessions that stood: the words on their end
+    net::Timer retransmit_;           // while there are any
     net::Listener listener_;
 };
 
