Measure slopes: what each thing costs an agent against connections, sessions, servers, agents

Change: the laboratory gets the experiment slopes in lab/slopes: a line by least squares with the interval of its slope (Boost.Math), a counting kernel, a rig of one agent with a feed, a server and viewers in a process of their own.

--- a/lab/run/experiments.cpp
+++ b/lab/run/experiments.cpp
@@ -25,7 +25,9 @@
         {"membership", "300 agents that talk, in virtual time: messages, deaths found, false ones",
          run_membership},
         {"demo", "ten seconds of service on sockets", run_demo},
-        {"load", "what a set-up costs the agent, served and refused, on sockets", run_load}};
+        {"load", "what a set-up costs the agent, served and refused, on sockets", run_load},
+        {"slopes", "what everything costs an agent, against connections, sessions, servers and agents",
+         run_slopes}};
     return all;
 }
 
--- a/lab/run/experiments.h
+++ b/lab/run/experiments.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "lab/slopes/slope.h"
+
 namespace lab {
 
 struct Ask {
@@ -20,11 +22,13 @@
     std::string order;         // of return after a power loss: only this one
     std::uint64_t follow = 0;  // the session of which all is printed
     bool cut_down = false;     // a failing plan of faults is cut down to a smaller one
+    std::string only;          // parts of an experiment that has some, with commas; empty: all
 };
 
 struct Result {
     std::vector<std::string> violations;
     std::vector<std::pair<std::string, double>> figures;  // in the order in which they are told
+    std::vector<Slope> slopes;                            // where the experiment measures some
 };
 
 struct Experiment {
@@ -46,6 +50,7 @@
 Result run_power_loss_fleet(const Ask& ask);  // 300 agents in virtual time, each order of return
 Result run_membership(const Ask& ask);        // 300 agents that talk, in virtual time
 Result run_load(const Ask& ask);              // sockets: what a set-up costs the agent
+Result run_slopes(const Ask& ask);  // what everything costs, against the sizes that it may depend on
 
 Result run_demo(const Ask& ask);  // sockets: ten seconds of service
 
--- a/lab/run/main.cpp
+++ b/lab/run/main.cpp
@@ -8,9 +8,12 @@
 #include <nlohmann/json.hpp>
 
 #include "lab/run/experiments.h"
+#include "lab/slopes/counted_agent.h"
 
 int main(int argc, char** argv) {
     signal(SIGPIPE, SIG_IGN);
+    // The laboratory starts itself in this way, as an agent whose system calls are counted.
+    if (argc == 4 && std::string(argv[1]) == "counted-agent") return lab::serve_counted(argv[2], argv[3]);
     CLI::App app("The laboratory of jasperspread: emulated servers and viewers round the real agent.");
     std::string name, json_file;
     lab::Ask ask;
@@ -27,6 +30,7 @@
     app.add_option("--broken-program", ask.broken_program, "the program that can be broken");
     app.add_option("--order", ask.order, "of return after a power loss: only this one is played");
     app.add_option("--follow", ask.follow, "print all that is seen of this session");
+    app.add_option("--only", ask.only, "of an experiment with parts, these, with commas");
     app.add_flag("--cut-down", ask.cut_down, "look for a smaller plan of faults that still fails");
     CLI11_PARSE(app, argc, argv);
     for (const auto& one : lab::experiments()) {
@@ -50,10 +54,18 @@
             if (!result.violations.empty())
                 std::printf("again: scripts/lab %s --seed %llu\n", one.name,
                             static_cast<unsigned long long>(ask.seed));
-            const nlohmann::ordered_json json = {{"experiment", one.name},
-                                                 {"seed", ask.seed},
-                                                 {"violations", result.violations.size()},
-                                                 {"figures", figures}};
+            nlohmann::ordered_json slopes = nlohmann::ordered_json::array();
+            for (const lab::Slope& slope : result.slopes) {
+                std::printf("%-34s %.4g (%.4g .. %.4g) %s per %s, from %.4g\n", slope.name.c_str(),
+                            slope.slope, slope.low, slope.high, slope.unit.c_str(), slope.per.c_str(),
+                            slope.intercept);
+                slopes.push_back(lab::to_json(slope));
+            }
+            nlohmann::ordered_json json = {{"experiment", one.name},
+                                           {"seed", ask.seed},
+                                           {"violations", result.violations.size()},
+                                           {"figures", figures}};
+            if (!slopes.empty()) json["slopes"] = slopes;
             if (!json_file.empty()) std::ofstream(json_file) << json.dump(2) << "\n";
             return result.violations.empty() ? 0 : 1;
         } catch (const std::exception& error) {
