--- a/lab/slopes/decisions.cpp
+++ b/lab/slopes/decisions.cpp
@@ -27,7 +27,7 @@
 constexpr double longest_s = 0.5;       // of the repeats of one event
 constexpr std::uint32_t replay = 1;     // the class of all sessions
 constexpr double scarce_rate_kb = 300;  // at which a session plays where links are scarce
-constexpr double scarce_fill = 0.9;
+constexpr double scarce_fill = 0.7;     // under the limit at which nothing more is taken
 
 enum class Links { Roomy, Scarce };
 
@@ -179,12 +179,13 @@
 };
 constexpr Number numbers[] = {
     {"decision", "one set-up asked of the module, links with room"},
-    {"decision_scarce", "one set-up asked of the module, links nearly full, so that it looks for a price"},
+    {"decision_scarce",
+     "one set-up asked of the module, more wanted than links give, so that it looks for a price"},
     {"started", "a set-up's answer"},
     {"session_end", "a session's end"},
     {"timer", "the timer of a set-up that is over"},
     {"note_link", "a server's note of its link, links with room"},
-    {"note_link_scarce", "a server's note of its link, links nearly full"},
+    {"note_link_scarce", "a server's note of its link, more wanted than links give"},
     {"note_share", "a server's note of the share that it delivers"},
     {"seek", "where would this session be better? links with room"},
     {"list_event_module", "one server drains, or is up again: the module's part"},
--- a/lab/slopes/memory.cpp
+++ b/lab/slopes/memory.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::uint32_t sessions_held[] = {0, 500, 1000, 2000, 4000, 7000, 10000};
 constexpr int servers_listed[] = {10, 100, 300, 600, 1000, 2000};
+constexpr std::uint32_t links_held[] = {0, 100, 300, 600, 1000, 2000};
 constexpr int events = 20;
 
 // Processor time of one list event: a server that nobody uses drains, and comes back.
@@ -34,14 +35,18 @@
     return (rig.processor_s() - before - idle * (rig.now() - began)) * 1e6 / events;
 }
 
-void add_sessions(AgentRig& rig, std::uint32_t count, Result& result) {
-    if (count == 0) return;
+ViewerOrder set_ups(std::uint32_t count) {
     ViewerOrder order;
     order.what = ViewerOrder::What::SetUp;
     order.count = count;
     order.at_once = 64;
     order.first_only = true;
-    const ViewerReport report = rig.viewers(order);
+    return order;
+}
+
+void add_sessions(AgentRig& rig, std::uint32_t count, Result& result) {
+    if (count == 0) return;
+    const ViewerReport report = rig.viewers(set_ups(count));
     if (report.refused > 0) result.violations.emplace_back("set-ups were refused");
 }
 
@@ -67,6 +72,27 @@
     set.finish(result, command_of(ask, "memory"));
 }
 
+// Each session at a server of its own, and so with a connection of its own to it.
+void measure_server_links(const Ask& ask, Result& result) {
+    SlopeSet set;
+    set.add("server_link_process_bytes", "B", "session",
+            "resident memory of the program, sessions at a server each: a session with a connection to its "
+            "server; 2,000 servers listed all the time");
+    AgentRig rig({ask.program, fresh_folder(ask, "links"), false, servers_listed[5], true});
+    rig.connect_to(1);
+    std::uint32_t standing = 0;
+    for (const std::uint32_t wanted : links_held) {
+        ViewerOrder order = set_ups(wanted - standing);
+        order.cells = servers_listed[5];
+        if (order.count > 0 && rig.viewers(order).refused > 0)
+            result.violations.emplace_back("set-ups were refused");
+        standing = wanted;
+        rig.settle();
+        set.point("server_link_process_bytes", wanted, static_cast<double>(rig.resident()));
+    }
+    set.finish(result, command_of(ask, "memory"));
+}
+
 void measure_servers(const Ask& ask, Result& result) {
     SlopeSet set;
     set.add("server_process_bytes", "B", "server",
@@ -84,6 +110,7 @@
 
 void measure_memory(const Ask& ask, Result& result) {
     measure_sessions(ask, result);
+    measure_server_links(ask, result);
     measure_servers(ask, result);
 }
 
--- a/lab/slopes/parts.h
+++ b/lab/slopes/parts.h
@@ -33,6 +33,7 @@
 void measure_connections(const Ask& ask, Result& result);
 void measure_memory(const Ask& ask, Result& result);
 void measure_fanout(const Ask& ask, Result& result);
+void measure_owed(const Ask& ask, Result& result);
 void measure_lists(const Ask& ask, Result& result);
 void measure_decisions(const Ask& ask, Result& result);
 void measure_membership(const Ask& ask, Result& result);
--- a/lab/slopes/recovery.cpp
+++ b/lab/slopes/recovery.cpp
@@ -54,7 +54,7 @@
     const std::string settings = operator_file(folder);
     Return measured;
     const double began = kernel.now();
-    AgentRig rig({ask.program, folder, false, 1, settings});
+    AgentRig rig({ask.program, folder, false, 1, false, settings});
     measured.listens_s = rig.now() - began;
     measured.listens_processor_s = rig.processor_s();
     constexpr double longest_s = 60;
--- a/lab/slopes/rig.cpp
+++ b/lab/slopes/rig.cpp
@@ -40,12 +40,16 @@
     viewers_.attach(loop_);
     const auto server_at = server_.listen(loopback());
     const auto nobody = *jasperspread::net::parse_address("127.0.0.2:9");
-    for (int server = 0; server < options.servers; ++server)
-        members_.push_back({server, server == 0 ? server_at : nobody, "up", 0});
+    for (int server = 0; server < options.servers; ++server) {
+        const bool there = server == 0 || options.all_there;
+        const auto at = server > 0 && there ? server_.listen(loopback()) : server_at;
+        members_.push_back({server, there ? at : nobody, "up", 0});
+    }
     start();
 }
 
 AgentRig::~AgentRig() {
+    viewers_.detach();
     process_.kill();
 }
 
--- a/lab/slopes/rig.h
+++ b/lab/slopes/rig.h
@@ -16,9 +16,10 @@
 
 struct RigOptions {
     std::string program, folder;
-    bool counted = false;  // in place of the program, the laboratory's agent on a counting kernel
-    int servers = 1;       // listed; the first is there, and the only one that holds the title
-    std::string operator_file;
+    bool counted = false;    // in place of the program, the laboratory's agent on a counting kernel
+    int servers = 1;         // listed; the first is there, and the only one that holds the title
+    bool all_there = false;  // or all are there, at an address each
+    std::string operator_file = {};
 };
 
 class AgentRig {
--- a/lab/slopes/slopes.cpp
+++ b/lab/slopes/slopes.cpp
@@ -40,11 +40,14 @@
 }
 
 const std::vector<SlopePart>& slope_parts() {
-    static const std::vector<SlopePart> parts = {
-        {"connections", measure_connections}, {"memory", measure_memory},
-        {"fanout", measure_fanout},           {"lists", measure_lists},
-        {"decisions", measure_decisions},     {"membership", measure_membership},
-        {"recovery", measure_recovery}};
+    static const std::vector<SlopePart> parts = {{"connections", measure_connections},
+                                                 {"memory", measure_memory},
+                                                 {"fanout", measure_fanout},
+                                                 {"owed", measure_owed},
+                                                 {"lists", measure_lists},
+                                                 {"decisions", measure_decisions},
+                                                 {"membership", measure_membership},
+                                                 {"recovery", measure_recovery}};
     return parts;
 }
 
--- a/lab/slopes/viewer_host.cpp
+++ b/lab/slopes/viewer_host.cpp
@@ -164,13 +164,13 @@
         }
     }
 
-    static ViewerMessage set_up(std::uint64_t id) {
+    ViewerMessage set_up(std::uint64_t id) const {
         ViewerMessage message = word(ViewerType::SetUp, id);
         message.class_name = "replay";
         message.title = jasperspread::codec::to_hex(1);
         message.hint_ms = session_length_s * 1000;
         message.description = describe({session_length_s, 5});
-        message.figures = {{"home", "0"}, {"copies", "1"}, {"top", "5"}};
+        message.figures = {{"home", std::to_string(id % order_.cells)}, {"copies", "1"}, {"top", "5"}};
         message.figures["viewer"] = jasperspread::codec::to_hex(id);
         return message;
     }
@@ -224,7 +224,7 @@
         } else if (message.is(ViewerType::Release)) {
             if (asked_.erase(id) > 0) ++report_.refused;
             if (standing_.erase(id) > 0) ends_.push_back(now());
-            say(at, word(ViewerType::ReleaseHeard, id));
+            if (!order_.mute) say(at, word(ViewerType::ReleaseHeard, id));
         }
     }
 
--- a/lab/slopes/viewer_process.cpp
+++ b/lab/slopes/viewer_process.cpp
@@ -39,7 +39,6 @@
 }
 
 ViewerProcess::~ViewerProcess() {
-    if (loop_ != nullptr) loop_->forget(channel_);
     ::close(channel_);
     ::kill(child_, SIGKILL);
     ::waitpid(child_, nullptr, 0);
@@ -50,6 +49,11 @@
     loop.watch(channel_, POLLIN, *this);
 }
 
+void ViewerProcess::detach() {
+    if (loop_ != nullptr) loop_->forget(channel_);
+    loop_ = nullptr;
+}
+
 void ViewerProcess::order(const ViewerOrder& order) {
     done_ = false;
     if (::send(channel_, &order, sizeof order, MSG_NOSIGNAL) != sizeof order)
--- a/lab/slopes/viewer_process.h
+++ b/lab/slopes/viewer_process.h
@@ -24,6 +24,8 @@
     std::uint32_t count = 0, at_once = 1;
     bool leaves = false;             // a viewer releases its session once it is answered
     bool first_only = false;         // all set-ups on the first connection
+    bool mute = false;               // no end that is heard is answered from here on
+    std::uint32_t cells = 1;         // titles are held by one cell each, of so many, in turn
     std::uint32_t port = 0, ip = 0;  // of the agent, in network order; for Connect
 };
 
@@ -43,6 +45,7 @@
 
     // Reports come by this loop from here on.
     void attach(jasperspread::net::Loop& loop);
+    void detach();  // before the loop goes
     void order(const ViewerOrder& order);
     bool is_done() const { return done_; }  // the last order is carried out
     const ViewerReport& report() const { return report_; }
--- a/tests/lab/scale_counts_test.cpp
+++ b/tests/lab/scale_counts_test.cpp
@@ -4,6 +4,7 @@
 
 #include <cmath>
 #include <functional>
+#include <nlohmann/json.hpp>
 
 #include "agent/config.h"
 #include "agent/directory.h"
