--- a/lab/slopes/viewer_process.h
+++ b/lab/slopes/viewer_process.h
@@ -12,11 +12,15 @@
 
 namespace lab {
 
+// The id of the first session that a process of viewers asks for or claims; the others follow.
+constexpr std::uint64_t claimed_from = (1ULL << 32) + 1;
+
 struct ViewerOrder {
     enum class What : std::uint32_t {
         Connect,     // `count` more connections; each passes a test, as a viewer that rests has spoken
         Disconnect,  // `count` of them in order, one at a time, the next once the agent has closed the last
         SetUp,       // `count` sessions, `at_once` open at most, each on the next connection in turn
+        Claim,       // `count` sessions that play at the first server, as after a restart of their agent
         AwaitEnds,   // until `count` sessions in all have been told over since the last SetUp
         Reset,       // `count` of them at once, without a word
     };
