--- a/lab/slopes/parts.h
+++ b/lab/slopes/parts.h
@@ -32,11 +32,14 @@
 
 void measure_connections(const Ask& ask, Result& result);
 void measure_memory(const Ask& ask, Result& result);
-void measure_fanout(const Ask& ask, Result& result);
+void measure_fanout_ended(const Ask& ask, Result& result);
+void measure_fanout_gone(const Ask& ask, Result& result);
+void measure_fanout_claimed(const Ask& ask, Result& result);
 void measure_owed(const Ask& ask, Result& result);
 void measure_lists(const Ask& ask, Result& result);
 void measure_decisions(const Ask& ask, Result& result);
-void measure_membership(const Ask& ask, Result& result);
+void measure_membership_calm(const Ask& ask, Result& result);
+void measure_membership_lossy(const Ask& ask, Result& result);
 void measure_recovery(const Ask& ask, Result& result);
 
 // A folder of its own for each rig: logs are told apart, and a number seen in one is of that life.
--- a/lab/slopes/slopes.cpp
+++ b/lab/slopes/slopes.cpp
@@ -42,11 +42,14 @@
 const std::vector<SlopePart>& slope_parts() {
     static const std::vector<SlopePart> parts = {{"connections", measure_connections},
                                                  {"memory", measure_memory},
-                                                 {"fanout", measure_fanout},
+                                                 {"fanout-ended", measure_fanout_ended},
+                                                 {"fanout-gone", measure_fanout_gone},
+                                                 {"fanout-claimed", measure_fanout_claimed},
                                                  {"owed", measure_owed},
                                                  {"lists", measure_lists},
                                                  {"decisions", measure_decisions},
-                                                 {"membership", measure_membership},
+                                                 {"membership-calm", measure_membership_calm},
+                                                 {"membership-lossy", measure_membership_lossy},
                                                  {"recovery", measure_recovery}};
     return parts;
 }
