Run real processes and hollow agents together: the scale run, and a relay that loses nothing

Found on the way: lab::Relay dropped what came before its own connect was up (Connection::send takes nothing then), so that an agent behind it asked a feed that had come back for half a minute in vain.

An agent that talks logs each list that it goes by. A process's processor time is read in nanoseconds. The relay waits for its connect.

--- a/lab/model/party.h
+++ b/lab/model/party.h
@@ -75,6 +75,7 @@
         const auto it = tags_.find(number);
         return it == tags_.end() ? 0 : it->second;
     }
+    std::uint64_t number_of(const Connection& connection) const { return numbers_.at(&connection); }
     void stop_listening() { listeners_.clear(); }
     void drop_all() {
         for (auto& [number, connection] : std::exchange(connections_, {})) {
--- a/lab/run/agent_process.cpp
+++ b/lab/run/agent_process.cpp
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
+#include <time.h>
 #include <unistd.h>
 
 #include <fstream>
@@ -76,20 +77,15 @@
 }
 
 double AgentProcess::cpu_s() const {
-    const std::string text = text_of("/proc/" + std::to_string(pid_) + "/stat");
-    if (text.empty()) return 0;
-    std::istringstream words(text.substr(text.rfind(')') + 2));
-    std::string word;
-    double ticks = 0;
-    constexpr int user_time = 12, system_time = 13;  // of the fields after the name
-    for (int i = 1; words >> word; ++i) {
-        if (i == user_time || i == system_time) ticks += std::stod(word);
-    }
-    return ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
+    clockid_t clock{};
+    timespec spent{};
+    if (pid_ <= 0 || ::clock_getcpuclockid(pid_, &clock) != 0 || ::clock_gettime(clock, &spent) != 0)
+        return 0;
+    return static_cast<double>(spent.tv_sec) + static_cast<double>(spent.tv_nsec) * 1e-9;
 }
 
-std::size_t AgentProcess::memory_kb() const {
-    std::ifstream in("/proc/" + std::to_string(pid_) + "/status");
+std::size_t peak_memory_kb(pid_t process) {
+    std::ifstream in("/proc/" + std::to_string(process) + "/status");
     std::string word;
     while (in >> word) {
         if (word == "VmHWM:" && in >> word) return std::stoul(word);
@@ -97,4 +93,8 @@
     return 0;
 }
 
+std::size_t AgentProcess::memory_kb() const {
+    return peak_memory_kb(pid_);
+}
+
 }  // namespace lab
--- a/lab/run/agent_process.h
+++ b/lab/run/agent_process.h
@@ -13,6 +13,8 @@
 
 namespace lab {
 
+std::size_t peak_memory_kb(pid_t process);  // resident, the most so far; 0 where it has gone
+
 class AgentProcess {
 public:
     explicit AgentProcess(std::string log) : log_(std::move(log)) {}
--- a/lab/run/datagram_relay.h
+++ b/lab/run/datagram_relay.h
@@ -2,6 +2,7 @@
 // off for one sender.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <random>
 #include <set>
@@ -35,10 +36,20 @@
         else
             cut_.erase(from);
     }
+    // What comes from senders of which this is true is lost, too.
+    void cut_where(std::function<bool(const jasperspread::net::Address&)> is_cut) {
+        is_cut_ = std::move(is_cut);
+    }
+    // Called with each datagram that comes from a sender that is not cut.
+    void observe(std::function<void(const jasperspread::net::Address& from, std::size_t bytes)> seen) {
+        seen_ = std::move(seen);
+    }
 
 private:
     void pass(std::string_view bytes, const jasperspread::net::Address& from) {
-        if (cut_.contains(jasperspread::net::to_text(from))) return;
+        if (!cut_.empty() && cut_.contains(jasperspread::net::to_text(from))) return;
+        if (is_cut_ && is_cut_(from)) return;
+        if (seen_) seen_(from, bytes.size());
         const int copies = uniform() < lossy_.repeated ? 2 : 1;
         for (int copy = 0; copy < copies; ++copy) {
             if (uniform() < lossy_.lost) continue;
@@ -62,6 +73,8 @@
     jasperspread::net::Address target_;
     Lossy lossy_;
     std::set<std::string> cut_;
+    std::function<bool(const jasperspread::net::Address&)> is_cut_;
+    std::function<void(const jasperspread::net::Address&, std::size_t)> seen_;
     std::set<jasperspread::net::Deadlines::Key> late_;
     jasperspread::net::Datagrams socket_;
 };
--- a/lab/run/experiments.cpp
+++ b/lab/run/experiments.cpp
@@ -24,6 +24,9 @@
          run_power_loss_fleet},
         {"membership", "300 agents that talk, in virtual time: messages, deaths found, false ones",
          run_membership},
+        {"scale",
+         "48 processes and 402 hollow agents: restarts, a rack, a zone, regions cut, a feed, changes",
+         run_scale},
         {"demo", "ten seconds of service on sockets", run_demo},
         {"load", "what a set-up costs the agent, served and refused, on sockets", run_load}};
     return all;
--- a/lab/run/experiments.h
+++ b/lab/run/experiments.h
@@ -17,9 +17,10 @@
     int agents_or(int usual) const { return agents > 0 ? agents : usual; }
     std::string broken;  // the name of a broken agent that takes the place of the sound one
     std::string broken_program;
-    std::string order;         // of return after a power loss: only this one
-    std::uint64_t follow = 0;  // the session of which all is printed
-    bool cut_down = false;     // a failing plan of faults is cut down to a smaller one
+    std::string hollow_program;  // a process of hollow agents (docs/operate/scale.md)
+    std::string order;           // of return after a power loss: only this one
+    std::uint64_t follow = 0;    // the session of which all is printed
+    bool cut_down = false;       // a failing plan of faults is cut down to a smaller one
 };
 
 struct Result {
@@ -47,6 +48,8 @@
 Result run_membership(const Ask& ask);        // 300 agents that talk, in virtual time
 Result run_load(const Ask& ask);              // sockets: what a set-up costs the agent
 
+Result run_scale(const Ask& ask);  // processes and hollow agents: 450 of both
+
 Result run_demo(const Ask& ask);  // sockets: ten seconds of service
 
 }  // namespace lab
--- a/lab/run/main.cpp
+++ b/lab/run/main.cpp
@@ -22,9 +22,10 @@
     app.add_option("--plot-data", ask.plot, "where the experiment has a picture, its points go there");
     app.add_option("--program", ask.program, "the agent, for experiments on sockets");
     app.add_option("--agents", ask.agents, "how many agents; processes of the program: 40 at most")
-        ->check(CLI::Range(2, 300));
+        ->check(CLI::Range(2, 900));
     app.add_option("--broken", ask.broken, "a broken agent in place of the sound one, by its name");
     app.add_option("--broken-program", ask.broken_program, "the program that can be broken");
+    app.add_option("--hollow-program", ask.hollow_program, "the process that holds hollow agents");
     app.add_option("--order", ask.order, "of return after a power loss: only this one is played");
     app.add_option("--follow", ask.follow, "print all that is seen of this session");
     app.add_flag("--cut-down", ask.cut_down, "look for a smaller plan of faults that still fails");
--- a/lab/run/relay.cpp
+++ b/lab/run/relay.cpp
@@ -16,6 +16,7 @@
 }
 
 std::size_t Relay::heard(std::uint64_t number, std::string_view bytes) {
+    bytes_ += bytes.size();
     const auto it = ends_.find(number);
     const auto to = it == ends_.end() ? ends_.end() : ends_.find(it->second.other);
     if (to == ends_.end()) return bytes.size();
@@ -33,6 +34,8 @@
     if (it == ends_.end() || is_cut(it->second)) return;
     Way& way = it->second.out;
     Connection* to = connection(number);
+    // What comes before our own connect is up waits for it: a connection that is not open takes nothing.
+    if (to != nullptr && !to->is_open() && !way.bytes.empty()) return;
     while (to != nullptr && !way.bytes.empty() && way.bytes.front().first <= loop_.now()) {
         const std::string bytes = std::move(way.bytes.front().second);
         way.bytes.pop_front();
--- a/lab/run/relay.h
+++ b/lab/run/relay.h
@@ -22,6 +22,7 @@
     void break_all();  // every connection ends without a word
     // Connects are refused, as where the target's process is gone.
     void refuse(bool refuses);
+    std::uint64_t bytes() const { return bytes_; }  // taken from both ends
 
 private:
     struct Way {  // one direction of one connection
@@ -38,13 +39,14 @@
     void arrived(std::uint64_t number, Connection&) override;
     void left(std::uint64_t number, Connection::End why) override;
     std::size_t heard(std::uint64_t number, std::string_view bytes) override;
-    void opened(Connection&) override {}
+    void opened(Connection& connection) override { pass(number_of(connection)); }
     void pass(std::uint64_t number);
     bool is_cut(const End& end) const { return end.caller ? cut_back_ : cut_forth_; }
 
     std::mt19937_64 random_;
     jasperspread::net::Address target_, at_;
     double least_s_ = 0, jitter_s_ = 0;
+    std::uint64_t bytes_ = 0;
     bool cut_forth_ = false, cut_back_ = false;
     std::map<std::uint64_t, End> ends_;
 };
--- a/lab/run/socket_world.cpp
+++ b/lab/run/socket_world.cpp
@@ -1,16 +1,14 @@
 #include "socket_world.h"
 
 #include <signal.h>
-#include <sys/resource.h>
-#include <sys/stat.h>
-#include <unistd.h>
 
 #include <algorithm>
-#include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <stdexcept>
 
+#include "lab/run/files.h"
+
 namespace lab {
 namespace {
 
@@ -18,28 +16,6 @@
 // A turn of this process that took so long is the laboratory's own fault, not an agent's, s.
 constexpr double stall_s = 0.1;
 
-void write_file(const std::string& path, const std::string& text) {
-    std::ofstream out(path, std::ios::binary);
-    out << text;
-    if (!out.flush()) throw std::runtime_error("can't write " + path);
-}
-
-void take_all_descriptors() {
-    rlimit limit{};
-    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
-    limit.rlim_cur = limit.rlim_max;
-    ::setrlimit(RLIMIT_NOFILE, &limit);
-}
-
-// A loopback address of this process alone, and a free port there: a party that is away for a while finds its
-// port free when it comes back, whatever other laboratories and connections are given meanwhile.
-jasperspread::net::Address anywhere() {
-    const auto own = static_cast<unsigned>(::getpid());
-    const auto part = [own](unsigned shift) { return std::to_string(own >> shift & 0xFFU); };
-    return *jasperspread::net::parse_address("127." + std::to_string(1 + (own >> 16) % 250) + "." + part(8) +
-                                             "." + part(0) + ":0");
-}
-
 }  // namespace
 
 SocketWorld::SocketWorld(const WorldPlan& plan, SocketOptions options)
@@ -65,12 +41,11 @@
     for (int agent = 0; agent < plan_.agents; ++agent) {
         Slot& own = slot(agent);
         own.folder = options_.folder + "/n" + std::to_string(agent);
-        if (::mkdir(own.folder.c_str(), 0700) != 0 && errno != EEXIST)
-            throw std::runtime_error("can't make " + own.folder);
+        make_folder(own.folder);
         own.process = std::make_unique<AgentProcess>(own.folder + "/log");
         own.feed = std::make_unique<Feed>(loop_, plan_);
-        own.feed_at = own.feed->listen(anywhere());
-        own.listen = anywhere();
+        own.feed_at = own.feed->listen(own_loopback_address());
+        own.listen = own_loopback_address();
         const auto seed = plan_.seed * 7919 + static_cast<std::uint64_t>(agent);
         for (int server = 0; server < plan_.servers; ++server) {
             auto address = server_at_[static_cast<std::size_t>(server)][static_cast<std::size_t>(agent)];
@@ -78,7 +53,7 @@
                 own.to_servers.push_back(std::make_unique<Relay>(loop_, seed + 31));
                 own.to_servers.back()->lead_to(address);
                 own.to_servers.back()->delay(options_.delay_s, options_.delay_s);
-                address = own.to_servers.back()->listen(anywhere());
+                address = own.to_servers.back()->listen(own_loopback_address());
             }
             own.feed->add({server, address, "up", 0});
         }
@@ -120,7 +95,7 @@
     auto& addresses = server_at_[at];
     // A listener for each agent tells whose connection it is: all come from one address here.
     for (std::size_t agent = 0; agent < agents_.size(); ++agent) {
-        if (addresses.size() <= agent) addresses.push_back(anywhere());
+        if (addresses.size() <= agent) addresses.push_back(own_loopback_address());
         addresses[agent] = made->listen(addresses[agent], agent + 1);
     }
     ledger_.server_trouble(server, false, now());
@@ -142,24 +117,19 @@
              << "\n  again_s: " << store.again_s << "\n  without: " << store.without << "\n";
     }
     if (plan_.agents_remember || plan_.agents_recover) {
-        const auto& back = plan_.recovery;
-        yaml << "recovery:\n  order: \"" << back.order << "\"\n  uptime_file: " << own.folder
-             << "/uptime\n  spread_s: " << back.spread_s << "\n  ask_s: " << back.ask_s
-             << "\n  list_s: " << back.list_s << "\n  probe_s: " << back.probe_s
-             << "\n  paid_s: " << back.paid_s << "\n  rest_s: " << back.rest_s
-             << "\n  rest_from: " << back.rest_from << "\n  delay_s: " << back.delay_s
-             << "\n  stay_away_s: " << back.stay_away_s << "\n";
+        auto back = plan_.recovery;
+        back.uptime_file = own.folder + "/uptime";
+        write_recovery_section(yaml, back);
     }
     if (plan_.agents_talk) {
-        const auto& talk = plan_.fleet;
+        auto talk = plan_.fleet;
         constexpr std::size_t seeds_named = 3;
-        yaml << "fleet:\n  key_file: " << own.folder << "/key\n  listen: 127.0.0.1:0\n  advertise: "
-             << jasperspread::net::to_text(own.from_agents->address())
-             << "\n  probe_every_s: " << talk.probe_every_s << "\n  answer_s: " << talk.answer_s
-             << "\n  suspect_s: " << talk.suspect_s << "\n  sync_s: " << talk.sync_s << "\n  seeds: [";
+        talk.key_file = own.folder + "/key";
+        talk.listen = "127.0.0.1:0";
+        talk.advertise = jasperspread::net::to_text(own.from_agents->address());
         for (std::size_t i = 0; i < std::min(seeds_named, agents_.size()); ++i)
-            yaml << (i > 0 ? ", " : "") << jasperspread::net::to_text(agents_[i].from_agents->address());
-        yaml << "]\n";
+            talk.seeds.push_back(jasperspread::net::to_text(agents_[i].from_agents->address()));
+        write_fleet_section(yaml, talk);
     }
     write_file(own.folder + "/operator.yaml", yaml.str());
 }
@@ -219,7 +189,7 @@
     if (options_.relayed && !own.from_viewers) {
         own.from_viewers = std::make_unique<Relay>(loop_, plan_.seed + 17);
         own.from_viewers->delay(options_.delay_s, options_.delay_s);
-        own.listens = own.from_viewers->listen(anywhere());
+        own.listens = own.from_viewers->listen(own_loopback_address());
     }
     if (own.from_viewers) own.from_viewers->lead_to(own.listen);
     if (!std::exchange(own.viewers_began, true)) own.viewers->start(own.listens);
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -86,6 +86,8 @@
     sessions_.listed(list);
     servers_.listed();
     if (keeper_) keeper_->listed();
+    // Where agents talk they are compared: which of them goes by which list, and since when.
+    if (peers_) log_.info("list_in_force", {{"number", std::to_string(change.number)}});
     config_.directory.forget_gone(loop_.now(),
                                   [this](ServerNumber number) { return servers_.holds(number); });
 }
