Put the scale run's relays on a loop of their own, and judge deaths by lives' times

Change: the relays stand on a thread of their own; a report of which the life is not told is judged by the time at which lives ran; how late the experiment itself was is a figure.

--- a/lab/scale/counting_kernel.cpp
+++ b/lab/scale/counting_kernel.cpp
@@ -25,6 +25,13 @@
     real_bytes_[static_cast<std::size_t>(real)] += bytes;
 }
 
+int CountingKernel::poll(pollfd* polled, std::size_t count, double wait_s) {
+    if (before_wait_) before_wait_();
+    const int ready = system_.poll(polled, count, wait_s);
+    if (after_wait_) after_wait_();
+    return ready;
+}
+
 ssize_t CountingKernel::receive(int fd, char* bytes, std::size_t room) {
     const ssize_t got = system_.receive(fd, bytes, room);
     if (got > 0) stream_bytes_ += static_cast<std::uint64_t>(got);
--- a/lab/scale/counting_kernel.h
+++ b/lab/scale/counting_kernel.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <atomic>
 #include <cstdint>
+#include <functional>
 
 #include "lab/scale/placement.h"
 #include "net/kernel.h"
@@ -31,12 +32,15 @@
     // What has come from this real process.
     FromReal from_real(int agent) const;
     void block(Zones senders) { blocked_ = senders; }
+    // Called before and after each wait in poll(); empty: nothing is.
+    void around_waits(std::function<void()> before, std::function<void()> after) {
+        before_wait_ = std::move(before);
+        after_wait_ = std::move(after);
+    }
 
     double now() override { return system_.now(); }
     std::uint64_t random() override { return system_.random(); }
-    int poll(pollfd* polled, std::size_t count, double wait_s) override {
-        return system_.poll(polled, count, wait_s);
-    }
+    int poll(pollfd* polled, std::size_t count, double wait_s) override;
     int listen(const Address& at) override { return system_.listen(at); }
     int accept(int fd) override { return system_.accept(fd); }
     int open_stream() override { return system_.open_stream(); }
@@ -59,6 +63,7 @@
     void count_received(const Address& from, std::uint64_t bytes);
 
     jasperspread::net::SystemKernel system_;
+    std::function<void()> before_wait_, after_wait_;
     std::atomic<Zones> blocked_{0};
     Counter messages_sent_{0}, messages_received_{0}, bytes_sent_{0}, bytes_received_{0}, stream_bytes_{0};
     std::array<Counter, real_agents_most> real_messages_{}, real_bytes_{};
--- a/lab/scale/death_judge.cpp
+++ b/lab/scale/death_judge.cpp
@@ -3,18 +3,25 @@
 #include <algorithm>
 
 namespace lab {
+namespace {
+
+constexpr double told_for_s = 40;
+
+}  // namespace
 
 DeathJudge::Verdict DeathJudge::judge(int by, int of, std::uint64_t token, double now) const {
     const auto& lives = lives_[index(of)];
-    const bool had_death =
-        std::any_of(lives.begin(), lives.end(), [](const Life& life) { return life.ended > 0; });
+    const auto ran = [now](const Life& life) {
+        return life.began <= now && (life.ended == 0 || now < life.ended);
+    };
     auto life = lives.end();
     if (token != 0)
         life = std::find_if(lives.begin(), lives.end(), [&](const Life& one) { return one.token == token; });
     const bool told = life != lives.end();
-    if (!told && had_death) return lives.back().ended > 0 ? Verdict::Found : Verdict::Unclear;
-    const bool ran = !told || life->ended == 0 || now < life->ended;
-    if (!ran) return Verdict::Found;
+    if (!told) life = std::find_if(lives.begin(), lives.end(), ran);
+    if (life == lives.end() || !ran(*life)) return Verdict::Found;
+    // Perhaps of the life before, whose death is told for so long.
+    if (!told && life != lives.begin() && now < life->began + told_for_s) return Verdict::Unclear;
     return was_cut_ && was_cut_(by, of, now) ? Verdict::Cut : Verdict::Wrong;
 }
 
--- a/lab/scale/death_judge.h
+++ b/lab/scale/death_judge.h
@@ -33,7 +33,7 @@
         std::uint64_t found = 0;    // true deaths, over all who reported them
         std::uint64_t wrong = 0;    // of a life that ran and could be reached
         std::uint64_t cut = 0;      // of a life that ran, beyond a cut or just after it
-        std::uint64_t unclear = 0;  // of a name that has had a death before, its life not told
+        std::uint64_t unclear = 0;  // of a name that came back a short while ago, its life not told
     };
     const Counts& counts() const { return counts_; }
     const std::vector<std::string>& wrong_ones() const { return wrong_ones_; }  // the first, in words
--- a/lab/scale/likeness.cpp
+++ b/lab/scale/likeness.cpp
@@ -10,7 +10,7 @@
     double sent = 0, received = 0, sent_bytes = 0, received_bytes = 0, stream_bytes = 0;
 };
 
-Used used_by(const ScaleWorld& world, const ScaleOutcome& outcome, int agent) {
+Used used_by(ScaleWorld& world, const ScaleOutcome& outcome, int agent) {
     const auto at = static_cast<std::size_t>(agent);
     const Traffic now = world.sample(agent).traffic, before = outcome.at_baseline[at].traffic;
     Used used{static_cast<double>(now.messages_sent - before.messages_sent),
@@ -67,7 +67,7 @@
 
 }  // namespace
 
-Likeness compare(const ScaleWorld& world, const ScaleOutcome& outcome) {
+Likeness compare(ScaleWorld& world, const ScaleOutcome& outcome) {
     const ScalePlan& plan = world.plan();
     const std::vector<int> seeds = plan.seeds();
     std::vector<Used> all;
--- a/lab/scale/likeness.h
+++ b/lab/scale/likeness.h
@@ -14,6 +14,6 @@
 
 // From the baseline on. What either sends is counted where it is received: a real one's sockets can't be
 // seen.
-Likeness compare(const ScaleWorld& world, const ScaleOutcome& outcome);
+Likeness compare(ScaleWorld& world, const ScaleOutcome& outcome);
 
 }  // namespace lab
--- a/lab/scale/real_agent.cpp
+++ b/lab/scale/real_agent.cpp
@@ -4,14 +4,15 @@
 
 namespace lab {
 
-RealAgent::RealAgent(jasperspread::net::Loop& loop, int agent, std::string program, std::string folder)
-    : agent_(agent),
+RealAgent::RealAgent(RelayLoop& relays, int agent, std::string program, std::string folder)
+    : relays_(relays),
+      agent_(agent),
       program_(std::move(program)),
       folder_(std::move(folder)),
       process_(folder_ + "/log"),
       log_(folder_ + "/log"),
-      datagrams_(loop, static_cast<std::uint64_t>(agent) + 1),
-      feed_(loop, static_cast<std::uint64_t>(agent) + 1) {}
+      datagrams_(relays.loop(), static_cast<std::uint64_t>(agent) + 1),
+      feed_(relays.loop(), static_cast<std::uint64_t>(agent) + 1) {}
 
 jasperspread::net::Address RealAgent::feed_relay(const jasperspread::net::Address& feed) {
     feed_.lead_to(feed);
@@ -49,6 +50,7 @@
     if (line.event == "fleet_listening") {
         const std::string at = line.value("at");
         there_.clear();
+        const auto held = relays_.hold();
         datagrams_.lead_to(*jasperspread::net::parse_address(at));
         events.push_back({What::Talks, agent_, line.at, 0, at, 0});
     } else if (line.event == "list_in_force") {
@@ -65,6 +67,7 @@
     AgentSample sample;
     sample.agent = agent_;
     sample.cpu_s = cpu_before_s_ + process_.cpu_s();
+    const auto held = relays_.hold();
     sample.traffic = received_;
     sample.traffic.stream_bytes = feed_.bytes();
     sample.present = process_.started() ? there_.size() + 1 : 0;
--- a/lab/scale/real_agent.h
+++ b/lab/scale/real_agent.h
@@ -12,12 +12,14 @@
 #include "lab/run/relay.h"
 #include "lab/scale/host_protocol.h"
 #include "lab/scale/log_tail.h"
+#include "lab/scale/relay_loop.h"
 
 namespace lab {
 
 class RealAgent {
 public:
-    RealAgent(jasperspread::net::Loop& loop, int agent, std::string program, std::string folder);
+    // Its relays stand on `relays`, which has not begun yet.
+    RealAgent(RelayLoop& relays, int agent, std::string program, std::string folder);
 
     jasperspread::net::Address datagrams_at() const { return datagrams_.address(); }
     // Its feed is to be had there.
@@ -26,7 +28,7 @@
     void cut_where(std::function<bool(const jasperspread::net::Address&)> is_cut) {
         datagrams_.cut_where(std::move(is_cut));
     }
-    // Called with each datagram that it receives.
+    // Called with each datagram that it receives, while the relays' loop is held.
     void observe(std::function<void(const jasperspread::net::Address& from, std::size_t bytes)> seen);
 
     void start(double machine_s);
@@ -41,6 +43,7 @@
 private:
     void hear(const LogLine& line, std::vector<AgentEvent>& events);
 
+    RelayLoop& relays_;
     const int agent_;
     const std::string program_, folder_;
     AgentProcess process_;
--- a/lab/scale/scale_figures.cpp
+++ b/lab/scale/scale_figures.cpp
@@ -11,7 +11,8 @@
 namespace {
 
 constexpr double window_s = 10, kb = 1024;
-constexpr int full_size = 450;  // agents
+constexpr double samples_apart_s = 1;  // at most; a scene that is shorter than a window is one
+constexpr int full_size = 450;         // agents
 
 struct Bound {
     const char* name;
@@ -35,7 +36,7 @@
     Usage::Rates all, others;  // of all agents, and without those whom all know
 };
 
-Most most_of(const ScaleWorld& world, double from, double until) {
+Most most_of(const ScaleWorld& world, double window, double from, double until) {
     Most most;
     const std::vector<int> seeds = world.plan().seeds();
     const auto raise = [](Usage::Rates& most_yet, const Usage::Rates& rates) {
@@ -44,7 +45,7 @@
         most_yet.messages_per_s = std::max(most_yet.messages_per_s, rates.messages_per_s);
     };
     for (int agent = 0; agent < world.plan().agents(); ++agent) {
-        const Usage::Rates rates = world.usage(agent).most(window_s, from, until);
+        const Usage::Rates rates = world.usage(agent).most(window, from, until);
         raise(most.all, rates);
         if (std::find(seeds.begin(), seeds.end(), agent) == seeds.end()) raise(most.others, rates);
     }
@@ -95,7 +96,8 @@
 
 void add_scene(Result& result, const ScaleWorld& world, const SceneOutcome& scene) {
     const auto delays = world.changes().delays(scene.began, scene.ended);
-    const Most most = most_of(world, scene.began, scene.ended);
+    const double length_s = scene.ended - scene.began - samples_apart_s;
+    const Most most = most_of(world, std::min(window_s, length_s), scene.began, scene.ended);
     const std::string mark = scene.name + "_";
     const auto add = [&](const char* name, double value) { result.figures.emplace_back(mark + name, value); };
     add("killed", static_cast<double>(scene.killed));
@@ -126,8 +128,8 @@
     Result result;
     const ScalePlan& plan = world.plan();
     const auto delays = world.changes().delays(outcome.began, outcome.ended);
-    const Most most = most_of(world, outcome.baseline, outcome.ended);
-    const Most most_at_start = most_of(world, 0, outcome.baseline);
+    const Most most = most_of(world, window_s, outcome.baseline, outcome.ended);
+    const Most most_at_start = most_of(world, window_s, 0, outcome.baseline);
     const Memory memory = memory_of(world);
     const Likeness likeness = compare(world, outcome);
     const Usage::Rates real = mean_of(world, true, outcome.calm.began, outcome.calm.whole);
@@ -170,6 +172,7 @@
                       {"hollow_to_real_bytes_error", likeness.bytes_error},
                       {"compared_real", likeness.real},
                       {"compared_hollow", likeness.hollow},
+                      {"laboratory_late_s_max", world.latest_look_s()},
                       {"seconds", outcome.ended - outcome.began}};
     for (const SceneOutcome& scene : all_scenes(outcome)) add_scene(result, world, scene);
     for (const std::string& what : world.deaths().wrong_ones()) result.violations.push_back(what);
--- a/lab/scale/scale_world.cpp
+++ b/lab/scale/scale_world.cpp
@@ -38,10 +38,16 @@
         throw std::runtime_error("a host of hollow agents did not come up: see " + options_.folder);
     look_at_logs();
     sample_reals();
-    start_agents();
+    try {
+        start_agents();
+    } catch (...) {
+        relays_.end();  // nothing passes on what is about to go
+        throw;
+    }
 }
 
 ScaleWorld::~ScaleWorld() {
+    relays_.end();
     for (Slot& own : agents_) own.real.reset();
     for (FeedSlot& own : feeds_) own.feed.reset();
 }
@@ -70,7 +76,7 @@
     make_folder(own.folder);
     auto feed_at = feeds_[index(zone)].at;
     if (real) {
-        own.real = std::make_unique<RealAgent>(loop_, agent, options_.program, own.folder);
+        own.real = std::make_unique<RealAgent>(relays_, agent, options_.program, own.folder);
         feed_at = own.real->feed_relay(feed_at);
         own.real->cut_where([this, agent](const jasperspread::net::Address& from) {
             const int sender_zone = zone_of(from);
@@ -111,6 +117,7 @@
 
 void ScaleWorld::start_agents() {
     for (int agent = 0; agent < plan_.agents(); ++agent) add_agent(agent);
+    relays_.begin();
     const auto talk = [this](const Slot& own) { return own.talks || !own.runs; };
     const auto all_talk = [&] { return std::all_of(agents_.begin(), agents_.end(), talk); };
     const std::vector<int> seeds = plan_.seeds();
@@ -268,7 +275,8 @@
     own.usage.add(used);
 }
 
-CountingKernel::FromReal ScaleWorld::sent_by_real(int agent) const {
+CountingKernel::FromReal ScaleWorld::sent_by_real(int agent) {
+    const auto held = relays_.hold();
     CountingKernel::FromReal sum;
     for (const auto& some : from_reals_) {
         sum.messages += some[index(agent)].messages;
@@ -278,6 +286,8 @@
 }
 
 void ScaleWorld::look_at_logs() {
+    if (looked_ > 0) latest_look_s_ = std::max(latest_look_s_, now() - looked_ - logs_every_s);
+    looked_ = now();
     for (Slot& own : agents_) {
         if (!own.real) continue;
         for (const AgentEvent& event : own.real->take_events()) hear(event);
--- a/lab/scale/scale_world.h
+++ b/lab/scale/scale_world.h
@@ -2,6 +2,7 @@
 // what is seen of it.
 #pragma once
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <string>
@@ -56,7 +57,9 @@
     const Usage& usage(int agent) const { return agents_[index(agent)].usage; }
     const AgentSample& sample(int agent) const { return agents_[index(agent)].sample; }
     // What others have received of this real process.
-    CountingKernel::FromReal sent_by_real(int agent) const;
+    CountingKernel::FromReal sent_by_real(int agent);
+    // By how much a regular look of the experiment itself was too late, at most: a busy machine, s.
+    double latest_look_s() const { return latest_look_s_; }
     std::vector<std::unique_ptr<AgentProcess>> const& hosts() const { return hosts_.processes(); }
     AgentProcess& real_process(int agent) { return agents_[index(agent)].real->process(); }
 
@@ -94,6 +97,7 @@
     const ScaleOptions options_;
     jasperspread::net::SystemKernel kernel_;
     jasperspread::net::Loop loop_;
+    RelayLoop relays_;
     ChangeTracker changes_;
     DeathJudge deaths_;
     std::vector<FeedSlot> feeds_;
@@ -101,8 +105,8 @@
     std::vector<std::vector<CountingKernel::FromReal>> from_reals_;  // by host; last, by the relays
     HostLinks hosts_;
     std::uint64_t changes_told_ = 0;
-    bool cut_ = false;
-    double cut_at_ = 0, healed_at_ = 0;
+    std::atomic<bool> cut_{false};  // read by the relays too
+    double cut_at_ = 0, healed_at_ = 0, looked_ = 0, latest_look_s_ = 0;
     jasperspread::net::Timer logs_timer_, samples_timer_;
 };
 
--- a/tests/lab/scale_test.cpp
+++ b/tests/lab/scale_test.cpp
@@ -146,6 +146,10 @@
     CHECK_EQ(judge.counts().wrong, 3);
     judge.report(0, 1, 0, 24);
     CHECK_EQ(judge.counts().unclear, 1);
+    judge.report(0, 1, 0, 15);  // its life is not told, but none ran then
+    CHECK_EQ(judge.counts().found, 3);
+    judge.report(0, 1, 0, 90);
+    CHECK_EQ(judge.counts().wrong, 4);
 }
 
 TEST_CASE("scale: the most of any window") {
