--- a/lab/scale/counting_kernel.cpp
+++ b/lab/scale/counting_kernel.cpp
@@ -1,9 +1,11 @@
 #include "lab/scale/counting_kernel.h"
 
+#include "lab/scale/datagram_kind.h"
+
 namespace lab {
 
 Traffic CountingKernel::traffic() const {
-    return {messages_sent_, messages_received_, bytes_sent_, bytes_received_, stream_bytes_};
+    return {messages_sent_, messages_received_, bytes_sent_, bytes_received_, stream_bytes_, list_bytes_};
 }
 
 CountingKernel::FromReal CountingKernel::from_real(int agent) const {
@@ -16,6 +18,10 @@
     return zone >= 0 && (blocked_ >> zone & 1U) != 0;
 }
 
+void CountingKernel::count_list(const char* bytes, std::uint64_t count) {
+    if (kind_of({bytes, count}) == jasperspread::fleet::Kind::List) list_bytes_ += count;
+}
+
 void CountingKernel::count_received(const Address& from, std::uint64_t bytes) {
     ++messages_received_;
     bytes_received_ += bytes;
@@ -50,6 +56,7 @@
         const ssize_t got = system_.receive_from(fd, bytes, room, from);
         if (got < 0) return got;
         if (is_blocked(from)) continue;
+        count_list(bytes, static_cast<std::uint64_t>(got));
         count_received(from, static_cast<std::uint64_t>(got));
         return got;
     }
@@ -58,6 +65,7 @@
 ssize_t CountingKernel::send_to(int fd, const char* bytes, std::size_t count, const Address& to) {
     ++messages_sent_;
     bytes_sent_ += count;
+    count_list(bytes, count);
     return system_.send_to(fd, bytes, count, to);
 }
 
--- a/lab/scale/counting_kernel.h
+++ b/lab/scale/counting_kernel.h
@@ -16,6 +16,7 @@
     std::uint64_t messages_sent = 0, messages_received = 0;  // datagrams
     std::uint64_t bytes_sent = 0, bytes_received = 0;        // in them
     std::uint64_t stream_bytes = 0;                          // both ways, of the control feed's connection
+    std::uint64_t list_bytes = 0;                            // both ways, of datagrams with whole lists
     std::uint64_t messages() const { return messages_sent + messages_received; }
     std::uint64_t bytes() const { return bytes_sent + bytes_received + stream_bytes; }
 };
@@ -60,12 +61,14 @@
 private:
     using Counter = std::atomic<std::uint64_t>;
     bool is_blocked(const Address& from) const;
+    void count_list(const char* bytes, std::uint64_t count);
     void count_received(const Address& from, std::uint64_t bytes);
 
     jasperspread::net::SystemKernel system_;
     std::function<void()> before_wait_, after_wait_;
     std::atomic<Zones> blocked_{0};
-    Counter messages_sent_{0}, messages_received_{0}, bytes_sent_{0}, bytes_received_{0}, stream_bytes_{0};
+    Counter messages_sent_{0}, messages_received_{0}, bytes_sent_{0}, bytes_received_{0}, stream_bytes_{0},
+        list_bytes_{0};
     std::array<Counter, real_agents_most> real_messages_{}, real_bytes_{};
 };
 
--- a/lab/scale/host_protocol.cpp
+++ b/lab/scale/host_protocol.cpp
@@ -11,7 +11,8 @@
 json written(const AgentSample& sample) {
     const Traffic& traffic = sample.traffic;
     return json::array({sample.agent, sample.cpu_s, traffic.messages_sent, traffic.messages_received,
-                        traffic.bytes_sent, traffic.bytes_received, traffic.stream_bytes, sample.present});
+                        traffic.bytes_sent, traffic.bytes_received, traffic.stream_bytes, traffic.list_bytes,
+                        sample.present});
 }
 
 AgentSample read_sample(const json& from) {
@@ -20,8 +21,8 @@
     sample.cpu_s = from.at(1).get<double>();
     sample.traffic = {from.at(2).get<std::uint64_t>(), from.at(3).get<std::uint64_t>(),
                       from.at(4).get<std::uint64_t>(), from.at(5).get<std::uint64_t>(),
-                      from.at(6).get<std::uint64_t>()};
-    sample.present = from.at(7).get<std::uint64_t>();
+                      from.at(6).get<std::uint64_t>(), from.at(7).get<std::uint64_t>()};
+    sample.present = from.at(8).get<std::uint64_t>();
     return sample;
 }
 
--- a/lab/scale/scale_figures.cpp
+++ b/lab/scale/scale_figures.cpp
@@ -41,7 +41,10 @@
     const std::vector<int> seeds = world.plan().seeds();
     const auto raise = [](Usage::Rates& most_yet, const Usage::Rates& rates) {
         most_yet.cores = std::max(most_yet.cores, rates.cores);
-        most_yet.bytes_per_s = std::max(most_yet.bytes_per_s, rates.bytes_per_s);
+        if (rates.bytes_per_s > most_yet.bytes_per_s) {
+            most_yet.bytes_per_s = rates.bytes_per_s;
+            most_yet.list_bytes_per_s = rates.list_bytes_per_s;
+        }
         most_yet.messages_per_s = std::max(most_yet.messages_per_s, rates.messages_per_s);
     };
     for (int agent = 0; agent < world.plan().agents(); ++agent) {
@@ -110,6 +113,7 @@
     add("change_late_s_max", part(delays.late, 1));
     add("kb_per_s_max", most.all.bytes_per_s / kb);
     add("kb_per_s_max_others", most.others.bytes_per_s / kb);
+    add("kb_per_s_max_others_of_lists", most.others.list_bytes_per_s / kb);
     add("core_share_max", most.all.cores);
     add("deaths_told", static_cast<double>(scene.deaths.found));
     add("false_deaths", static_cast<double>(scene.deaths.wrong));
@@ -155,6 +159,8 @@
                       {"control_memory_mb_hollow", memory.of_hollow_kb / kb},
                       {"control_kb_per_s_max", most.all.bytes_per_s / kb},
                       {"control_kb_per_s_max_others", most.others.bytes_per_s / kb},
+                      {"control_kb_per_s_max_of_lists", most.all.list_bytes_per_s / kb},
+                      {"control_kb_per_s_max_others_of_lists", most.others.list_bytes_per_s / kb},
                       {"control_kb_per_s_calm_real", real.bytes_per_s / kb},
                       {"control_kb_per_s_calm_hollow", hollow.bytes_per_s / kb},
                       {"control_messages_per_s_calm_real", real.messages_per_s},
--- a/lab/scale/usage.cpp
+++ b/lab/scale/usage.cpp
@@ -9,7 +9,7 @@
     const double seconds = last.at - first.at;
     if (seconds <= 0) return {};
     return {(last.cpu_s - first.cpu_s) / seconds, (last.bytes - first.bytes) / seconds,
-            (last.messages - first.messages) / seconds};
+            (last.messages - first.messages) / seconds, (last.list_bytes - first.list_bytes) / seconds};
 }
 
 }  // namespace
@@ -25,7 +25,10 @@
         if (began.at < from || last.at - began.at < window_s) continue;
         const Rates rates = between(began, last);
         found.cores = std::max(found.cores, rates.cores);
-        found.bytes_per_s = std::max(found.bytes_per_s, rates.bytes_per_s);
+        if (rates.bytes_per_s > found.bytes_per_s) {
+            found.bytes_per_s = rates.bytes_per_s;
+            found.list_bytes_per_s = rates.list_bytes_per_s;
+        }
         found.messages_per_s = std::max(found.messages_per_s, rates.messages_per_s);
     }
     return found;
--- a/lab/scale/usage.h
+++ b/lab/scale/usage.h
@@ -8,7 +8,7 @@
 namespace lab {
 
 struct UsageSample {
-    double at = 0, cpu_s = 0, messages = 0, bytes = 0;  // sums up to then
+    double at = 0, cpu_s = 0, messages = 0, bytes = 0, list_bytes = 0;  // sums up to then
 };
 
 class Usage {
@@ -18,6 +18,7 @@
     // hold one.
     struct Rates {
         double cores = 0, bytes_per_s = 0, messages_per_s = 0;
+        double list_bytes_per_s = 0;  // in the window of the most bytes
     };
     Rates most(double window_s, double from, double until) const;
     Rates mean(double from, double until) const;
--- a/tests/lab/scale_test.cpp
+++ b/tests/lab/scale_test.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <filesystem>
 
+#include "fleet/seal.h"
+#include "lab/scale/datagram_kind.h"
 #include "lab/scale/scale_figures.h"
 
 using namespace lab;
@@ -166,6 +168,20 @@
     CHECK_EQ(usage.most(60, 0, 40).bytes_per_s, 0);
 }
 
+TEST_CASE("scale: the kind of a datagram is read past its seal") {
+    namespace fleet = jasperspread::fleet;
+    fleet::Seal seal(fleet::Keys(ticket_key()), "n7", "127.0.0.1:2910", {1, 0xFFFFFFFFFFFFU});
+    for (const auto kind : {fleet::Kind::Ping, fleet::Kind::List, fleet::Kind::Status}) {
+        fleet::Message message;
+        message.kind = kind;
+        const std::string datagram = seal.close(0x123456789ABCDEFU, fleet::encode(message));
+        CHECK_EQ(kind_of(datagram), kind);
+        for (std::size_t length = 0; length < 20; ++length)
+            CHECK_FALSE(kind_of(datagram.substr(0, length)).has_value());
+    }
+    CHECK_FALSE(kind_of("HTTP/1.1 200 OK").has_value());
+}
+
 TEST_CASE("scale: hosts and the experiment read what the other has written") {
     const auto start = std::get<StartAgent>(decode_command(encode(Command(StartAgent{7, 1, "/a b", 2.5}))));
     CHECK_EQ(start.agent, 7);
@@ -175,11 +191,12 @@
     CHECK_EQ(std::get<BlockZones>(decode_command(encode(Command(BlockZones{3, 5})))).senders, 5);
     Report report;
     report.host = 2;
-    report.samples.push_back({4, 0.5, {1, 2, 3, 4, 5}, 450});
+    report.samples.push_back({4, 0.5, {1, 2, 3, 4, 5, 6}, 450});
     report.events.push_back({AgentEvent::What::Died, 4, 1.5, 0, "n9", 0xFFFFFFFFFFFFFFFFU});
     const Report read = decode_report(encode(report));
     CHECK_EQ(read.host, 2);
     CHECK_EQ(read.samples.at(0).traffic.stream_bytes, 5);
+    CHECK_EQ(read.samples.at(0).traffic.list_bytes, 6);
     CHECK_EQ(read.samples.at(0).present, 450);
     CHECK_EQ(read.events.at(0).token, 0xFFFFFFFFFFFFFFFFU);
     CHECK_EQ(read.events.at(0).name, "n9");
