--- a/lab/scale/scale_world.cpp
+++ b/lab/scale/scale_world.cpp
@@ -41,6 +41,7 @@
     sample_reals();
     try {
         start_agents();
+        latest_look_s_ = 0;  // files are written up to here
     } catch (...) {
         relays_.end();  // nothing passes on what is about to go
         throw;
--- a/tests/lab/scale_test.cpp
+++ b/tests/lab/scale_test.cpp
@@ -24,6 +24,7 @@
     plan.world.fleet.probe_every_s = 0.4;
     plan.world.fleet.answer_s = 0.15;
     plan.world.fleet.sync_s = 2;
+    plan.world.fleet.suspect_s = 8;  // no process of a busy machine stands still for so long
     plan.starts_s = 2;
     plan.calm_s = 2;
     plan.agree_s = 60;  // at most, on a machine that is busy
