--- a/lab/run/main.cpp
+++ b/lab/run/main.cpp
@@ -28,6 +28,7 @@
         ->check(CLI::Range(2, 1000));
     app.add_option("--broken", ask.broken, "a broken agent in place of the sound one, by its name");
     app.add_option("--broken-program", ask.broken_program, "the program that can be broken");
+    app.add_option("--hollow-program", ask.hollow_program, "the process that holds hollow agents");
     app.add_option("--order", ask.order, "of return after a power loss: only this one is played");
     app.add_option("--links", ask.links, "of membership: only calm or lossy ones are played")
         ->check(CLI::IsMember({"calm", "lossy"}));
