Fill the capacity page with the first slopes: decisions, memory, and viewers by poll(2)

Cause: the page had no figures. Change: rows by the names of the slopes, figures of the scale run as rows, a second table of viewers by the run before readiness, the slope's bend where the last two points leave its interval; missing mechanisms in the order that the slopes give.

--- a/lab/capacity/fit.cpp
+++ b/lab/capacity/fit.cpp
@@ -10,13 +10,12 @@
     from.at("name").get_to(fit.name);
     from.at("unit").get_to(fit.unit);
     from.at("per").get_to(fit.per);
-    from.at("command").get_to(fit.command);
     from.at("points").get_to(fit.points);
     from.at("slope").get_to(fit.slope);
     from.at("slope_low").get_to(fit.slope_low);
     from.at("slope_high").get_to(fit.slope_high);
     from.at("intercept").get_to(fit.intercept);
-    fit.note = from.value("note", "");
+    from.at("last_slope").get_to(fit.last_slope);
 }
 
 Estimate estimate_by_line(const Fit& fit, double x) {
@@ -47,9 +46,9 @@
     return sum / count;
 }
 
-Evidence::Evidence(const nlohmann::json& slopes) {
-    if (slopes.is_null()) return;
-    slopes.at("slopes").get_to(fits_);
+Evidence::Evidence(const nlohmann::json& slopes, const nlohmann::json& scale) {
+    if (!slopes.is_null()) slopes.at("slopes").get_to(fits_);
+    if (!scale.is_null()) scale.at("figures").get_to(figures_);
 }
 
 const Fit* Evidence::find(const std::string& name) const {
@@ -57,4 +56,9 @@
     return it == fits_.end() ? nullptr : &*it;
 }
 
+std::optional<double> Evidence::figure(const std::string& name) const {
+    const auto it = figures_.find(name);
+    return it == figures_.end() ? std::nullopt : std::optional(it->second);
+}
+
 }  // namespace lab::capacity
--- a/lab/capacity/fit.h
+++ b/lab/capacity/fit.h
@@ -1,7 +1,8 @@
-// A straight line through what one run of `scripts/lab slopes` measured, and what it says of a size, with the
-// interval of the mean and how far the size lies beyond what was measured.
+// What was measured: straight lines by `scripts/lab slopes`, with what they say of a size, and single figures
+// by `scripts/lab scale`.
 #pragma once
 
+#include <map>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
@@ -11,10 +12,13 @@
 namespace lab::capacity {
 
 struct Fit {
-    std::string name, unit, per, command, note;
+    std::string name, unit, per;
     std::vector<std::pair<double, double>> points;
     double slope = 0, slope_low = 0, slope_high = 0;  // 95%
     double intercept = 0;
+    double last_slope = 0;  // between the two largest x
+
+    bool bends() const { return last_slope < slope_low || last_slope > slope_high; }
 };
 
 struct Estimate {
@@ -29,12 +33,14 @@
 
 class Evidence {
 public:
-    // Takes the JSON of `scripts/lab slopes`; null where there is no run yet.
-    explicit Evidence(const nlohmann::json& slopes);
+    // Takes the JSON of `scripts/lab slopes` and `scripts/lab scale`; null where there is no run yet.
+    Evidence(const nlohmann::json& slopes, const nlohmann::json& scale);
     const Fit* find(const std::string& name) const;
+    std::optional<double> figure(const std::string& name) const;
 
 private:
     std::vector<Fit> fits_;
+    std::map<std::string, double> figures_;
 };
 
 }  // namespace lab::capacity
--- a/lab/capacity/main.cpp
+++ b/lab/capacity/main.cpp
@@ -33,7 +33,8 @@
     const std::string page = read(page_path);
     const auto tables = lab::capacity::make_tables(
         {read_json(inputs + "plan.json"), read_json(inputs + "rows.json"), read_json(inputs + "scenes.json"),
-         read_run(inputs + "slopes.json"), read_run(inputs + "scale.json")});
+         read_run(inputs + "slopes.json"), read_run(inputs + "slopes-before.json"),
+         read_run(inputs + "scale.json")});
     const std::string made = lab::capacity::with_tables(page, tables);
     if (!check) {
         std::ofstream(page_path, std::ios::binary) << made;
--- a/lab/capacity/page.cpp
+++ b/lab/capacity/page.cpp
@@ -33,14 +33,14 @@
 }
 
 std::string slope_cell(const Row& row, const Outcome& outcome) {
-    if (row.fit.empty()) return "derived";
-    if (outcome.fit == nullptr) return not_measured + ": `" + row.fit + "`";
+    if (!outcome.estimate) return not_measured + ": `" + (row.fit.empty() ? row.figure : row.fit) + "`";
+    if (row.fit.empty()) return row.figure.empty() ? "derived" : "`" + row.figure + "` of `scale`";
     const Fit& fit = *outcome.fit;
     if (row.reads_point) return "`" + fit.name + "`, as measured there";
     const std::string slope = shown(fit.slope) + " " + fit.unit + " a " + fit.per;
     const std::string text = "`" + fit.name + "`: " + shown(fit.intercept) + " and " + slope + " (" +
                              shown_range(fit.slope_low, fit.slope_high) + ")";
-    return fit.note.empty() ? text : text + "; " + fit.note;
+    return fit.bends() ? text + "; bends: " + shown(fit.last_slope) + " at the end" : text;
 }
 
 std::string range_cell(const Outcome& outcome) {
@@ -95,6 +95,7 @@
     std::vector<std::pair<double, std::string>> found;
     std::string unmeasured;
     for (const Role& role : roles) {
+        if (role.before) continue;
         for (const Row& row : role.rows) {
             const Outcome outcome = evaluate(row, sizes, evidence);
             const std::string text = line({factor_cell(row, outcome), role.name, row.what, row.carried_by});
@@ -108,11 +109,11 @@
     return text + unmeasured;
 }
 
-std::string played_cell(const Scene& scene, const nlohmann::json& scale) {
+std::string played_cell(const Scene& scene, const Evidence& evidence) {
     std::string text;
     for (const std::string& name : scene.figures) {
-        if (scale.is_null() || !scale.at("figures").contains(name)) continue;
-        text += (text.empty() ? "" : ", ") + ("`" + name + "` ") + shown(scale.at("figures").at(name));
+        const auto figure = evidence.figure(name);
+        if (figure) text += (text.empty() ? "" : ", ") + ("`" + name + "` ") + shown(*figure);
     }
     return text.empty() ? "derived only" : text;
 }
@@ -123,8 +124,7 @@
                                             : shown(*burden.back_after_s);
 }
 
-std::string failures_table(const std::vector<Scene>& scenes, const Sizes& sizes, const Evidence& evidence,
-                           const nlohmann::json& scale) {
+std::string failures_table(const std::vector<Scene>& scenes, const Sizes& sizes, const Evidence& evidence) {
     std::string text =
         head({"failure", "sessions that end", "arrive at agents", "set-ups at each, most",
               "a s at each, most (and ordinary ones)", "a core bears a s", "service back after s",
@@ -134,7 +134,7 @@
         text += line({scene.what, shown(burden.ended), shown(burden.takers), shown(burden.set_ups_each),
                       shown(burden.peak_per_s) + " (" + shown(burden.ordinary_per_s) + ")",
                       burden.borne_per_s ? shown(*burden.borne_per_s) : not_measured, back_cell(burden),
-                      scene.refused, scene.control, played_cell(scene, scale)});
+                      scene.refused, scene.control, played_cell(scene, evidence)});
     }
     return text;
 }
@@ -163,13 +163,14 @@
 
 Tables make_tables(const Inputs& inputs) {
     const Sizes sizes(inputs.plan);
-    const Evidence evidence(inputs.slopes);
+    const Evidence evidence(inputs.slopes, inputs.scale), before(inputs.slopes_before, nullptr);
     const auto roles = inputs.rows.at("roles").get<std::vector<Role>>();
     const auto scenes = inputs.scenes.at("scenes").get<std::vector<Scene>>();
     Tables tables;
     tables["sizes"] = sizes_table(sizes);
-    for (const Role& role : roles) tables[role.name] = role_table(role, sizes, evidence);
-    tables["failures"] = failures_table(scenes, sizes, evidence, inputs.scale);
+    for (const Role& role : roles)
+        tables[role.name] = role_table(role, sizes, role.before ? before : evidence);
+    tables["failures"] = failures_table(scenes, sizes, evidence);
     tables["beyond"] = beyond_table(roles, sizes, evidence);
     return tables;
 }
--- a/lab/capacity/page.h
+++ b/lab/capacity/page.h
@@ -7,9 +7,10 @@
 
 namespace lab::capacity {
 
-// What docs/capacity holds. `slopes` and `scale` are null where there is no run yet.
+// What docs/capacity holds. Measurements are null where there is no run yet.
 struct Inputs {
-    nlohmann::json plan, rows, scenes, slopes, scale;
+    nlohmann::json plan, rows, scenes;
+    nlohmann::json slopes, slopes_before, scale;
 };
 
 using Tables = std::map<std::string, std::string>;  // by the names of their places
--- a/lab/capacity/rows.cpp
+++ b/lab/capacity/rows.cpp
@@ -11,9 +11,15 @@
     return value > 0 ? std::numeric_limits<double>::infinity() : 0;
 }
 
-Estimate estimate_of(const Row& row, const Fit& fit, double x) {
-    const auto measured = row.reads_point ? measured_at(fit, x) : std::nullopt;
-    return measured ? Estimate{*measured, *measured, *measured, 1} : estimate_by_line(fit, x);
+std::optional<Estimate> exactly(std::optional<double> value) {
+    if (!value) return std::nullopt;
+    return Estimate{*value, *value, *value, 1};
+}
+
+std::optional<Estimate> estimate_of(const Row& row, const Fit* fit, double x) {
+    if (fit == nullptr) return std::nullopt;
+    const auto measured = row.reads_point ? measured_at(*fit, x) : std::nullopt;
+    return measured ? exactly(measured) : estimate_by_line(*fit, x);
 }
 
 }  // namespace
@@ -23,6 +29,7 @@
     from.at("unit").get_to(row.unit);
     from.at("carried_by").get_to(row.carried_by);
     row.fit = from.value("fit", "");
+    row.figure = from.value("figure", "");
     row.at = from.value("at", "");
     row.times = from.value("times", "");
     row.bound = from.value("bound", "");
@@ -33,19 +40,20 @@
 void from_json(const nlohmann::json& from, Role& role) {
     from.at("name").get_to(role.name);
     from.at("rows").get_to(role.rows);
+    role.before = from.value("before", false);
 }
 
 Outcome evaluate(const Row& row, const Sizes& sizes, const Evidence& evidence) {
     Outcome outcome;
     const double x = row.at.empty() ? 0 : sizes.at(row.at);
     const double factor = row.scale * (row.times.empty() ? 1 : sizes.at(row.times));
-    if (row.fit.empty()) {
-        outcome.estimate = Estimate{1, 1, 1, 1};
+    outcome.fit = evidence.find(row.fit);
+    if (!row.fit.empty()) {
+        outcome.estimate = estimate_of(row, outcome.fit, x);
     } else {
-        outcome.fit = evidence.find(row.fit);
-        if (outcome.fit == nullptr) return outcome;
-        outcome.estimate = estimate_of(row, *outcome.fit, x);
+        outcome.estimate = exactly(row.figure.empty() ? 1 : evidence.figure(row.figure));
     }
+    if (!outcome.estimate) return outcome;
     outcome.estimate->value *= factor;
     outcome.estimate->low *= factor;
     outcome.estimate->high *= factor;
--- a/lab/capacity/rows.h
+++ b/lab/capacity/rows.h
@@ -14,16 +14,18 @@
 // Sizes are named as in Sizes; an empty name stands for none.
 struct Row {
     std::string what, unit, carried_by;
-    std::string fit;           // a line of `scripts/lab slopes`; none: the row is derived, `times` alone
-    std::string at;            // its x
-    std::string times;         // how often that is spent
-    std::string bound;         // in the row's unit
-    double scale = 1;          // from the fit's unit to the row's
+    std::string fit;     // a line of `scripts/lab slopes`
+    std::string figure;  // or a figure of `scripts/lab scale`; neither: the row is derived, `times` alone
+    std::string at;      // its x
+    std::string times;   // how often that is spent
+    std::string bound;   // in the row's unit
+    double scale = 1;    // from the fit's unit to the row's
     bool reads_point = false;  // what was measured at just this x goes before the line
 };
 
 struct Role {
     std::string name;
+    bool before = false;  // from the run of slopes before the mechanism of this page was built
     std::vector<Row> rows;
 };
 
@@ -31,7 +33,7 @@
 
 // A row with its numbers filled in.
 struct Outcome {
-    const Fit* fit = nullptr;          // null: derived, or not measured
+    const Fit* fit = nullptr;          // null: of another kind, or not measured
     std::optional<Estimate> estimate;  // nullopt: not measured
     std::optional<double> factor;      // value / bound; infinite where nothing is allowed
 };
--- a/tests/lab/capacity_test.cpp
+++ b/tests/lab/capacity_test.cpp
@@ -17,10 +17,16 @@
 json line_of(const std::string& name, double intercept, double slope) {
     json points = json::array();
     for (const double x : {100.0, 200.0, 300.0, 400.0, 500.0}) points.push_back({x, intercept + slope * x});
-    return {
-        {"name", name},          {"unit", "us"},   {"per", "connection"},      {"command", "sample"},
-        {"points", points},      {"slope", slope}, {"slope_low", 0.9 * slope}, {"slope_high", 1.1 * slope},
-        {"intercept", intercept}};
+    return {{"name", name},
+            {"unit", "us"},
+            {"per", "connection"},
+            {"command", "sample"},
+            {"points", points},
+            {"slope", slope},
+            {"slope_low", 0.9 * slope},
+            {"slope_high", 1.1 * slope},
+            {"intercept", intercept},
+            {"last_slope", slope}};
 }
 
 json sample_slopes() {
@@ -73,8 +79,8 @@
 }
 
 Inputs sample_inputs() {
-    return {
-        sample_plan(), sample_rows(), sample_scenes(), sample_slopes(), {{"figures", {{"half_s", 2.25}}}}};
+    return {sample_plan(),   sample_rows(), sample_scenes(),
+            sample_slopes(), nullptr,       {{"figures", {{"half_s", 2.25}}}}};
 }
 
 }  // namespace
@@ -101,7 +107,7 @@
 }
 
 TEST_CASE("a line's interval is narrowest in the middle and widens beyond what was measured") {
-    const Evidence evidence(sample_slopes());
+    const Evidence evidence(sample_slopes(), {{"figures", {{"half_s", 2.25}}}});
     const Fit* fit = evidence.find("close_cpu_us");
     REQUIRE(fit != nullptr);
     const Estimate middle = estimate_by_line(*fit, 300), far = estimate_by_line(*fit, 10000);
@@ -115,12 +121,12 @@
     CHECK(measured_at(*fit, 200) == doctest::Approx(25.5));
     CHECK_FALSE(measured_at(*fit, 201).has_value());
     CHECK(evidence.find("note_us") == nullptr);
-    CHECK(Evidence(nullptr).find("close_cpu_us") == nullptr);
+    CHECK(Evidence(nullptr, nullptr).find("close_cpu_us") == nullptr);
 }
 
 TEST_CASE("a row is its line at a size, so many times, against its bound") {
     const Sizes sizes(sample_plan());
-    const Evidence evidence(sample_slopes());
+    const Evidence evidence(sample_slopes(), {{"figures", {{"half_s", 2.25}}}});
     Row row;
     row.fit = "close_cpu_us", row.at = "connections_each", row.times = "agents", row.bound = "core_us";
     CHECK(evaluate(row, sizes, evidence).estimate->value == doctest::Approx(500));
@@ -129,7 +135,11 @@
     CHECK(std::isinf(*evaluate(row, sizes, evidence).factor));
     row.fit = "note_us";
     CHECK_FALSE(evaluate(row, sizes, evidence).estimate.has_value());
-    row.fit = "";
+    row.fit = "", row.at = "", row.figure = "half_s";
+    CHECK(evaluate(row, sizes, evidence).estimate->value == 22.5);
+    row.figure = "whole_s";
+    CHECK_FALSE(evaluate(row, sizes, evidence).estimate.has_value());
+    row.figure = "";
     CHECK(evaluate(row, sizes, evidence).estimate->value == 10);
     row.times = "nothing of the kind";
     CHECK_THROWS_AS(evaluate(row, sizes, evidence), std::out_of_range);
@@ -137,7 +147,7 @@
 
 TEST_CASE("a failure's viewers come again to those who are left") {
     const Sizes sizes(sample_plan());
-    const Evidence evidence(sample_slopes());
+    const Evidence evidence(sample_slopes(), {{"figures", {{"half_s", 2.25}}}});
     Scene scene;
     scene.agents_lost = 5;
     const Burden half = burden_of(scene, sizes, evidence);
@@ -152,7 +162,7 @@
     CHECK(burden_of(scene, sizes, evidence).ended == 75000);
     scene.agents_lost = 9;
     CHECK(std::isinf(*burden_of(scene, sizes, evidence).back_after_s));
-    CHECK_FALSE(burden_of(scene, sizes, Evidence(nullptr)).borne_per_s.has_value());
+    CHECK_FALSE(burden_of(scene, sizes, Evidence(nullptr, nullptr)).borne_per_s.has_value());
 }
 
 TEST_CASE("tables show what is beyond its bound first, and what was not measured") {
