--- a/tests/accounting/structures_test.cpp
+++ b/tests/accounting/structures_test.cpp
@@ -123,6 +123,7 @@
                 auto it = walked.sessions.lower_bound(random.below(1000000));
                 if (it == walked.sessions.end()) it = walked.sessions.begin();
                 ledger.remove(it->second);
+                for (const double as_of : readings) ledger.charged_since(as_of, std::floor(now));
                 ledger.end(now, it->second.rate, it->second.since);
                 walked.ended.push_back({now, it->second.rate, it->second.since});
                 walked.sessions.erase(it);
