--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -7,7 +7,9 @@
 #include <functional>
 #include <limits>
 #include <map>
+#include <random>
 #include <set>
+#include <string>
 
 namespace cinderfront {
 namespace {
@@ -431,6 +433,136 @@
     }
 }
 
+std::string to_text(const std::vector<Action>& actions) {
+    std::string text;
+    const auto add = [&](const char* name, auto... values) {
+        text += name;
+        ((text += ' ' + std::to_string(values)), ...);
+        text += '\n';
+    };
+    for (const Action& a : actions) {
+        if (const auto* send = std::get_if<Send>(&a)) add("send", send->id, send->server);
+        if (const auto* rung = std::get_if<SetRung>(&a)) add("rung", rung->id, rung->rung);
+        if (const auto* refuse = std::get_if<Refuse>(&a)) add("refuse", refuse->id);
+        if (const auto* fail = std::get_if<Fail>(&a)) add("fail", fail->id);
+        if (const auto* offer = std::get_if<Offer>(&a)) add("offer", offer->id, offer->server, offer->gain);
+    }
+    return text;
+}
+
+// What comes to a front by chance: set-ups, their ends, notes, reports and moves, after what it sent.
+class RandomEvents {
+public:
+    RandomEvents(std::uint64_t seed, bool tells_racks) : random_(seed), tells_racks_(tells_racks) {}
+    Event next(double now) {
+        const auto kind = below(10);
+        if (kind < 4 || out_.empty()) return new_request(now);
+        auto it = std::next(out_.begin(), static_cast<std::ptrdiff_t>(below(out_.size())));
+        const auto [id, at] = *it;
+        if (!at.plays) {
+            const bool starts = below(5) > 0;
+            starts ? it->second.plays = true : out_.erase(it) == out_.end();
+            if (starts) return Started{id, at.server, at.attempt, 0.02};
+            return Outcome{id, at.attempt, at.server, Ending::Shed, 0.02, false, report()};
+        }
+        if (kind == 4) {
+            out_.erase(it);
+            return Outcome{id, at.attempt, at.server, Ending::Delivered, 5, true, report()};
+        }
+        if (kind == 5) return Seek{id};
+        if (kind == 6) {
+            it->second.server = 1 + static_cast<std::uint32_t>(below(servers));
+            return Rehomed{id, it->second.server, static_cast<int>(below(3))};
+        }
+        const NoteKind third = tells_racks_ ? NoteKind::Rack : NoteKind::Link;
+        const NoteKind notes[] = {NoteKind::Delivered, NoteKind::Link, third};
+        return Note{id, notes[kind - 7], at.attempt, at.server, use() + (kind == 7 ? 0.4 : 0)};
+    }
+    void sent(const std::vector<Action>& actions) {
+        for (const Send& send : of<Send>(actions)) {
+            out_[send.id] = {send.server, attempts_[send.id]++, false};
+        }
+    }
+    static constexpr std::uint32_t servers = 6;
+
+private:
+    struct At {
+        std::uint32_t server = 0, attempt = 0;
+        bool plays = false;
+    };
+    std::uint64_t below(std::uint64_t bound) { return random_() % bound; }
+    double use() { return 0.01 * static_cast<double>(below(100)); }
+    Event new_request(double now) {
+        Request r;
+        r.id = ++ids_;
+        r.holders = 4;
+        r.start_cell = static_cast<std::uint32_t>(below(4));
+        r.ceiling = static_cast<int>(below(3));
+        r.title = below(4);
+        r.not_after = now + 4;
+        r.hint = static_cast<double>(1 + below(10));
+        return NewRequest{r};
+    }
+    LoadReport report() {
+        LoadReport told;
+        told.link_asked = use();
+        if (tells_racks_) told.rack_asked = use();
+        return told;
+    }
+    std::mt19937_64 random_;
+    bool tells_racks_;
+    std::uint64_t ids_ = 0;
+    std::map<std::uint64_t, At> out_;
+    std::map<std::uint64_t, std::uint32_t> attempts_;
+};
+
+TEST(Readings, ARacksFirstOneSpeaksOfBeforeASetUpThatTheLinksHolds) {
+    Settings s = base_settings();
+    s.classes[0].floor = 2;  // 400 kB/s each
+    s.weight_kb = 1e6;
+    s.rack_link_kb = 500;
+    Front f(s);
+    f.servers(99, {1});
+    ASSERT_TRUE(sent_to(f.ask(100, 1)));
+    f.starts(100.1, 1, 1, 0.1);
+    f.on(100.5, Note{1, NoteKind::Rack, 0, 1, 0.2});  // of a second ago
+    EXPECT_TRUE(refused(f.ask(100.6, 2)));
+    f.on(101.5, Note{1, NoteKind::Rack, 0, 1, 0.2});  // holds it
+    EXPECT_TRUE(sent_to(f.ask(101.6, 3)));
+}
+
+// A list that says nothing new has a front look at all its sessions again, not only at those that a reading
+// may not hold yet. It decides the same.
+TEST(Readings, WhatIsNoLongerLookedAtWouldChangeNoDecision) {
+    for (const bool tells_racks : {false, true}) {
+        for (const std::uint32_t fronts : {2U, 40U}) {
+            for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+                Settings s = base_settings();
+                s.fronts = fronts;
+                s.weight_kb = 3000;
+                s.rack_link_kb = 8000;
+                Front usual(s, seed), all(s, seed);
+                ServerList list{ListKind::Restored, {}};
+                for (std::uint32_t id = 1; id <= RandomEvents::servers; ++id)
+                    list.entries.push_back(entry(id, id % 4));
+                usual.on(100, list);
+                list.kind = ListKind::Update;
+                RandomEvents events(seed, tells_racks);
+                for (int step = 0; step < 400; ++step) {
+                    const double now = 100 + 0.05 * step;
+                    if (step == 0) all.on(100, ServerList{ListKind::Restored, list.entries});
+                    all.on(now, list);
+                    const Event event = events.next(now);
+                    const auto actions = usual.on(now, event);
+                    ASSERT_EQ(to_text(actions), to_text(all.on(now, event))) << seed << ", step " << step;
+                    events.sent(actions);
+                }
+                EXPECT_GE(of<Send>(usual.all).size(), 40U);
+            }
+        }
+    }
+}
+
 TEST(Fleet, ARestartedFrontServesFromServersListedAsLongUp) {
     Settings s = base_settings();
     s.cold = 12;
