Divide membership.cpp: gossip queue, suspicions, ping relays and member digests are modules

Change: GossipQueue, Suspicions, PingRelays and MemberDigests, each with its own state and constants; membership.cpp is left with the member table, probing and the messages. No decision changed.

--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -10,8 +10,6 @@
 
 // Our own health, from 0 (well): each step makes our probes wait longer by one period, up to:
 constexpr unsigned sickest = 4;
-// So many members of their own who suspect it make a suspicion as short as it gets.
-constexpr double accusers_enough = 3;
 // A turn that comes so much later than it was due means that this process stood still, as a part of the
 // period.
 constexpr double late_part = 0.5;
@@ -21,42 +19,11 @@
 constexpr int twin_asks = 5;
 // The longest pause between two whole lists, in periods.
 constexpr double list_pause_most = 64;
-// Once more is spoken with a suspect before it is called dead, and so many times the usual answer waited for.
-constexpr double last_call_answers = 2;
-// In that time it is pinged so many times: over links that lose a fifth one ping in three goes unanswered.
-constexpr unsigned last_call_pings = 3;
 // Who says that it lives says so to so many at once, beside the news.
 constexpr std::size_t refutation_told = 4;
-// Of the words in a message so many are kept for news that is neither a doubt nor an answer to one.
-constexpr std::ptrdiff_t words_for_calm = 4;
-// Into so many buckets the members are divided by name, and each one has a digest.
-constexpr std::size_t digest_buckets = 32;
 // A probe for another is forgotten after so many periods.
 constexpr double relay_periods = 8;
 
-// The same in all agents: FNV-1a, and the finalizer of splitmix64.
-std::uint64_t hash_of(std::string_view text) {
-    std::uint64_t hash = 0xcbf29ce484222325U;
-    for (const char letter : text) hash = (hash ^ static_cast<unsigned char>(letter)) * 0x100000001b3U;
-    return hash;
-}
-
-std::uint64_t mixed(std::uint64_t value) {
-    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9U;
-    value = (value ^ (value >> 27)) * 0x94d049bb133111ebU;
-    return value ^ (value >> 31);
-}
-
-std::size_t digest_bucket(std::string_view name) {
-    return static_cast<std::size_t>(mixed(hash_of(name)) % digest_buckets);
-}
-
-// Of its name and life; not of its health, which changes too often for two agents to have the same.
-void add_to_digests(const Word& word, std::vector<std::uint64_t>& digests) {
-    digests[digest_bucket(word.name)] ^=
-        mixed(mixed(hash_of(word.name) ^ word.life.token) + word.life.incarnation);
-}
-
 }  // namespace
 
 std::string_view name_of(Event::What what) {
@@ -69,6 +36,8 @@
     : set_(settings),
       self_(std::move(self)),
       random_(seed),
+      suspicions_(set_),
+      relays_(relay_periods * set_.probe_every_s),
       next_probe_(now),
       next_sync_(now),
       next_list_(now),
@@ -77,7 +46,7 @@
     // Spread over the period, so that a fleet that starts at one instant does not probe in step.
     next_probe_ += uniform() * set_.probe_every_s;
     self_.health = Health::Alive;
-    spread(self_);
+    gossip_.push(self_);
 }
 
 std::size_t Membership::present() const {
@@ -105,16 +74,12 @@
 
 // ---- What is known ----
 
-void Membership::spread(const Word& word) {
-    news_[word.name] = {word, 0, ++spread_};
-}
-
 void Membership::set(Member& member, const Word& word, double now) {
     const Word before = member.word;
     if (before.life.token != word.life.token) forgotten_.push_back(before.life.token);
     member.word = word;
     member.since = now;
-    if (word.health != Health::Suspect) suspicions_.erase(word.name);
+    if (word.health != Health::Suspect) suspicions_.end(word.name);
     using What = Event::What;
     const bool was_there = before.health <= Health::Suspect, same_life = before.life.token == word.life.token;
     // A new life may be heard of by a doubt first.
@@ -127,7 +92,7 @@
     } else if (was_there || !same_life) {
         events_.push_back({word.health == Health::Dead ? What::Died : What::Left, word});
     }
-    spread(word);
+    gossip_.push(word);
 }
 
 void Membership::learn(const Word& word, const Name& from, Source source, double now) {
@@ -140,10 +105,10 @@
         if (word.health > Health::Suspect) return;
         members_[word.name] = {word, now};
         events_.push_back({Event::What::Joined, word});
-        if (word.health == Health::Suspect) suspicions_[word.name] = {now, {from}, 0, 0};
+        if (word.health == Health::Suspect) suspicions_.begin(word.name, from, now);
         // Whoever lacks a member that a list told of asks for a list, too; queued with all agents, the
         // members of a fleet that starts at once would hold up suspicions and refutations for minutes.
-        if (source == Source::Gossip || word.health == Health::Suspect) spread(word);
+        if (source == Source::Gossip || word.health == Health::Suspect) gossip_.push(word);
         return;
     }
     Member& member = it->second;
@@ -152,52 +117,26 @@
         member.word.health <= Health::Suspect)
         return suspect(member, from, now);
     if (!news) return;
-    if (word.health == Health::Suspect) suspicions_[word.name] = {now, {from}, 0, 0};
+    if (word.health == Health::Suspect) suspicions_.begin(word.name, from, now);
     set(member, word, now);
 }
 
 void Membership::suspect(Member& member, const Name& accuser, double now) {
-    const bool fresh = member.word.health == Health::Alive;
-    Suspicion& suspicion = suspicions_[member.word.name];
-    if (fresh) suspicion = {now, {}, 0, 0};
-    if (suspicion.accusers.size() <= static_cast<std::size_t>(accusers_enough))
-        suspicion.accusers.insert(accuser);
-    if (!fresh) return;
+    if (member.word.health != Health::Alive) return suspicions_.confirm(member.word.name, accuser);
+    suspicions_.begin(member.word.name, accuser, now);
     Word word = member.word;
     word.health = Health::Suspect;
     set(member, word, now);
 }
 
-// The word of a doubt, and the answer, take the longer to get round the larger the fleet is.
-double Membership::least_suspicion() const {
-    return set_.suspect_s * std::max(1.0, std::log10(static_cast<double>(present())));
-}
-
-// The more members suspect it on their own, the sooner it is dead: from twice the least time down to it.
-double Membership::suspicion_ends(const Suspicion& suspicion, double least) const {
-    const double others = std::max(0.0, static_cast<double>(suspicion.accusers.size()) - 1);
-    const double part = std::min(1.0, std::log(others + 1) / std::log(accusers_enough + 1));
-    const double at = suspicion.began + least * (2 - part);
-    const double last_call = last_call_answers * set_.answer_s;
-    const double next_ping = suspicion.called + last_call * suspicion.pings / last_call_pings;
-    return suspicion.pings > 0 ? std::max(at, next_ping) : at;
-}
-
 // Whoever would call it dead first speaks with it once more: what it said to others may not have come here
 // yet.
 void Membership::end_suspicions(double now, std::vector<Letter>& out) {
-    std::vector<Name> over;
-    const double least = suspicions_.empty() ? 0 : least_suspicion();
-    for (auto& [name, suspicion] : suspicions_) {
-        if (now < suspicion_ends(suspicion, least)) continue;
-        if (suspicion.pings == last_call_pings) {
-            over.push_back(name);
-            continue;
-        }
-        if (suspicion.pings++ == 0) suspicion.called = now;
+    if (suspicions_.empty()) return;
+    const Suspicions::Due due = suspicions_.take_due(now, present());
+    for (const Name& name : due.to_ping)
         out.push_back(to_member(members_.at(name), with_news(Kind::Ping, ++numbers_, name)));
-    }
-    for (const Name& name : over) {
+    for (const Name& name : due.dead) {
         Word word = members_.at(name).word;
         word.health = Health::Dead;
         set(members_.at(name), word, now);
@@ -209,7 +148,7 @@
 void Membership::refute(std::uint64_t above) {
     self_.life.incarnation = std::max(self_.life.incarnation, above + 1);
     refuted_ = true;
-    spread(self_);
+    gossip_.push(self_);
 }
 
 void Membership::retire() {
@@ -246,38 +185,15 @@
     const auto doubted = members_.find(to);
     if (doubted != members_.end() && doubted->second.word.health != Health::Alive)
         message.words.push_back(doubted->second.word);
-    std::vector<News*> fresh;
-    for (auto& [name, news] : news_) fresh.push_back(&news);
-    // Doubts and answers to them first: when all come at once, news of who came would hold them up. But not
-    // all of the room: who has come would stay unknown for as long as anybody is doubted.
-    const auto urgent = [](const News* news) {
-        return news->word.health != Health::Alive || news->word.life.incarnation > 1;
-    };
-    const auto calm = std::partition(fresh.begin(), fresh.end(), urgent);
-    const auto less_told = [](const News* one, const News* other) {
-        return one->told != other->told ? one->told < other->told : one->order > other->order;
-    };
-    std::sort(fresh.begin(), calm, less_told);
-    std::sort(calm, fresh.end(), less_told);
-    const auto kept = std::min<std::ptrdiff_t>(words_for_calm, fresh.end() - calm);
-    const auto room = static_cast<std::ptrdiff_t>(words_most - message.words.size());
-    const auto first = std::min(calm - fresh.begin(), std::max<std::ptrdiff_t>(0, room - kept));
-    std::rotate(fresh.begin() + first, calm, calm + kept);
-    const std::size_t most = tellings();
-    for (News* news : fresh) {
-        if (message.words.size() >= words_most) break;
-        ++news->told;
-        message.words.push_back(news->word);
-    }
-    std::erase_if(news_, [&](const auto& entry) { return entry.second.told >= most; });
+    gossip_.fill(message.words, tellings());
     return message;
 }
 
-std::vector<std::uint64_t> Membership::digests() const {
-    std::vector<std::uint64_t> digests(digest_buckets);
-    add_to_digests(self_, digests);
+MemberDigests Membership::digests() const {
+    MemberDigests digests;
+    digests.add(self_);
     for (const auto& [name, member] : members_) {
-        if (member.word.health <= Health::Suspect) add_to_digests(member.word, digests);
+        if (member.word.health <= Health::Suspect) digests.add(member.word);
     }
     return digests;
 }
@@ -286,12 +202,7 @@
 // nothing else than is known here; and what is known of the asker, its earlier lives too.
 void Membership::list_to(const Name& asker, const Address& to, const Message& join,
                          std::vector<Letter>& out) {
-    const std::vector<std::uint64_t> own = digests();
-    const bool whole = join.digests.size() != own.size();
-    const auto asker_has = [&](const Name& name) {
-        const std::size_t bucket = digest_bucket(name);
-        return !whole && join.digests[bucket] == own[bucket];
-    };
+    const MemberDigests own = digests();
     Message message;
     message.kind = Kind::List;
     message.number = join.number;
@@ -301,7 +212,7 @@
         message.words.clear();
     };
     for (const auto& [name, member] : members_) {
-        const bool is_listed = member.word.health <= Health::Suspect && !asker_has(name);
+        const bool is_listed = member.word.health <= Health::Suspect && !own.agrees(join.digests, name);
         const bool asker_differs = name == asker && member.word.health != Health::Alive;
         if (!is_listed && !asker_differs) continue;
         if (message.words.size() >= words_most) flush();
@@ -421,7 +332,7 @@
     Message join;
     join.kind = Kind::Join;
     join.number = list_asked_ = ++numbers_;
-    join.digests = digests();
+    join.digests = digests().values();
     join.words.push_back(self_);
     for (const Member* one : some(1, "")) out.push_back(to_member(*one, join));
 }
@@ -438,11 +349,8 @@
 void Membership::stood_still(double missed) {
     ++counts_.stood_still;
     probe_.reset();
-    for (auto& [name, suspicion] : suspicions_) {
-        suspicion.began += missed;
-        suspicion.pings = 0;
-    }
-    for (auto& [number, relayed] : relayed_) relayed.nack_at += missed;
+    suspicions_.postpone(missed);
+    relays_.postpone(missed);
 }
 
 std::vector<Letter> Membership::on_time(double now) {
@@ -454,16 +362,11 @@
     if (probe_ && !probe_->asked_help && now >= probe_->help_at) ask_for_help(out);
     if (probe_ && now >= probe_->ends) end_probe(now);
     if (!probe_ && now >= next_probe_) begin_probe(now, out);
-    for (auto it = relayed_.begin(); it != relayed_.end();) {
-        Relayed& relayed = it->second;
-        if (now >= relayed.nack_at && !std::exchange(relayed.nacked, true)) {
-            Message nack;
-            nack.kind = Kind::Nack;
-            nack.number = relayed.asker_number;
-            out.push_back({relayed.asker, nack});
-        }
-        const bool over = now >= relayed.nack_at + relay_periods * set_.probe_every_s;
-        it = over ? relayed_.erase(it) : std::next(it);
+    for (const PingRelays::Relay& relay : relays_.take_unanswered(now)) {
+        Message nack;
+        nack.kind = Kind::Nack;
+        nack.number = relay.asker_number;
+        out.push_back({relay.asker, nack});
     }
     end_suspicions(now, out);
     if (now >= next_list_) ask_for_list(now, out);
@@ -486,12 +389,8 @@
     double at = std::min({next_probe_, next_sync_, next_list_});
     if (probe_)
         at = std::min(at, probe_->asked_help ? probe_->ends : std::min(probe_->help_at, probe_->ends));
-    for (const auto& [number, relayed] : relayed_) {
-        if (!relayed.nacked) at = std::min(at, relayed.nack_at);
-    }
-    const double least = suspicions_.empty() ? 0 : least_suspicion();
-    for (const auto& [name, suspicion] : suspicions_) at = std::min(at, suspicion_ends(suspicion, least));
-    return at;
+    at = std::min(at, relays_.due());
+    return suspicions_.empty() ? at : std::min(at, suspicions_.due(present()));
 }
 
 std::vector<Letter> Membership::heard(const Name& from, const Address& at, const Life& life,
@@ -528,13 +427,12 @@
                 probe_.reset();
                 if (sickness_ > 0) --sickness_;
             }
-            const auto it = relayed_.find(message.number);
-            if (it == relayed_.end()) break;
+            const auto relay = relays_.take(message.number);
+            if (!relay) break;
             Message ack;
             ack.kind = Kind::Ack;
-            ack.number = it->second.asker_number;
-            out.push_back({it->second.asker, ack});
-            relayed_.erase(it);
+            ack.number = relay->asker_number;
+            out.push_back({relay->asker, ack});
             ++counts_.helped;
             break;
         }
@@ -543,7 +441,7 @@
             break;
         case Kind::PingFor: {
             const std::uint64_t number = ++numbers_;
-            relayed_[number] = {at, message.number, now + set_.answer_s, false};
+            relays_.add(number, {at, message.number, now + set_.answer_s, false});
             out.push_back({message.target.address, with_news(Kind::Ping, number, message.target.name),
                            message.target.life.token});
             break;
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -12,9 +12,13 @@
 #include <utility>
 #include <vector>
 
+#include "fleet/gossip_queue.h"
 #include "fleet/life.h"
+#include "fleet/member_digests.h"
 #include "fleet/message.h"
+#include "fleet/ping_relays.h"
 #include "fleet/settings.h"
+#include "fleet/suspicions.h"
 
 namespace jasperspread::fleet {
 
@@ -74,12 +78,6 @@
     unsigned sickness() const { return sickness_; }  // of ourselves, as far as we can tell; 0: well
 
 private:
-    struct Suspicion {
-        double began = 0;
-        std::set<Name> accusers;
-        double called = 0;   // of the pings before it is called dead, the first; where there were any
-        unsigned pings = 0;  // of those
-    };
     struct Probe {
         Name whom;
         std::uint64_t number = 0;
@@ -87,21 +85,10 @@
         bool asked_help = false, second = false;
         std::size_t helpers = 0, nacks = 0;
     };
-    struct Relayed {  // a probe for another member
-        Address asker;
-        std::uint64_t asker_number = 0;
-        double nack_at = 0;
-        bool nacked = false;
-    };
     struct Twin {  // perhaps: a process under our name, to be asked at its address so many times more
         Address where;
         int asks = 0;
     };
-    struct News {
-        Word word;
-        unsigned told = 0;
-        std::uint64_t order = 0;  // of all that was spread
-    };
     enum class Source { Gossip, List };
 
     void learn(const Word& word, const Name& from, Source source, double now);
@@ -110,16 +97,13 @@
     void suspect(Member& member, const Name& accuser, double now);
     void refute(std::uint64_t above);
     void retire();
-    void spread(const Word& word);
-    double least_suspicion() const;
-    double suspicion_ends(const Suspicion& suspicion, double least) const;
     void end_suspicions(double now, std::vector<Letter>& out);
     double period() const;
     double uniform() { return static_cast<double>(random_() >> 11) * 0x1p-53; }
     std::size_t tellings() const;
     static Letter to_member(const Member& member, Message message);
     Message with_news(Kind kind, std::uint64_t number, const Name& to);
-    std::vector<std::uint64_t> digests() const;
+    MemberDigests digests() const;
     void list_to(const Name& asker, const Address& to, const Message& join, std::vector<Letter>& out);
     void list_heard(const Message& message, bool told_news, double now);
     std::optional<Name> next_probed();
@@ -135,14 +119,14 @@
     Word self_;
     std::mt19937_64 random_;
     std::map<Name, Member> members_;
-    std::map<Name, Suspicion> suspicions_;
-    std::map<Name, News> news_;
+    Suspicions suspicions_;
+    GossipQueue gossip_;
     std::vector<Name> round_;      // still to be probed in this one
     std::optional<Name> doubted_;  // did not answer in the period before
     std::optional<Probe> probe_;
-    std::map<std::uint64_t, Relayed> relayed_;  // by our number
+    PingRelays relays_;
     std::optional<Twin> twin_;
-    std::uint64_t numbers_ = 0, spread_ = 0;
+    std::uint64_t numbers_ = 0;
     double next_probe_, next_sync_, next_list_, turned_;
     double list_pause_ = 0;
     std::uint64_t list_asked_ = 0;  // number of the last one asked for; 0: it was answered
