Name membership by the terms of SWIM: incarnation, update, name conflict, status query

Cause: lives, words, news, letters, twins, sickness and hail were metaphors of our own. Change: fleet/life.h is member.h; Life is Incarnation {number, token}, Word is MemberRecord, Letter is Outgoing, Twin is NameConflict; words are updates, PingFor is PingRequest, Question and Answer are SessionQuery and SessionReply, Hail and Status are StatusQuery and StatusReply. Numbers on the wire, settings and log events are as they were. Peers::hail stays as the former name of query_status.

--- a/lab/sim/talk_world.cpp
+++ b/lab/sim/talk_world.cpp
@@ -57,7 +57,7 @@
     own.host->run([] { return true; });
 }
 
-int TalkWorld::start_twin(int agent) {
+int TalkWorld::start_same_name(int agent) {
     add_slot(slot(agent).name);
     start(agents() - 1);
     return agents() - 1;
@@ -110,7 +110,8 @@
 bool TalkWorld::is_running_life(int by, const Slot& of) {
     const auto& known = slot(by).peers->membership().members();
     const auto it = known.find(of.name);
-    return it != known.end() && it->second.word.life.token == of.peers->membership().self().life.token;
+    return it != known.end() &&
+           it->second.record.incarnation.token == of.peers->membership().self().incarnation.token;
 }
 
 void TalkWorld::said(int by, const std::string& what, const std::string& name) {
--- a/lab/sim/talk_world.h
+++ b/lab/sim/talk_world.h
@@ -26,7 +26,7 @@
     void stop(int agent, bool stopped);
     void split(const std::vector<int>& part, bool is_split);  // from all others
     // A process under another one's name, at an address of its own; gives its number.
-    int start_twin(int agent);
+    int start_same_name(int agent);
 
     jasperspread::agent::Peers* peers(int agent) { return slot(agent).peers.get(); }
     Network& network() { return network_; }
--- a/src/agent/peers.cpp
+++ b/src/agent/peers.cpp
@@ -6,8 +6,8 @@
 namespace {
 
 using fleet::Kind;
-using fleet::Letter;
 using fleet::Message;
+using fleet::Outgoing;
 using fleet::SealFault;
 
 // One challenge for an address in so long, s: nobody makes us talk.
@@ -21,8 +21,8 @@
     return *address;
 }
 
-fleet::Word first_word(const fleet::Settings& settings, const fleet::Name& name, const net::Address& bound,
-                       std::uint64_t token) {
+fleet::MemberRecord own_record(const fleet::Settings& settings, const fleet::Name& name,
+                               const net::Address& bound, std::uint64_t token) {
     const std::string at = settings.advertise.empty() ? net::to_text(bound) : settings.advertise;
     return {name, at, {1, token}, fleet::Health::Alive};
 }
@@ -37,9 +37,9 @@
       socket_(loop, bound_to(order.settings),
               [this](std::string_view bytes, const net::Address&) { heard(bytes); }),
       membership_(order.settings,
-                  first_word(order.settings, name, socket_.address(), loop.kernel().random() | 1U),
+                  own_record(order.settings, name, socket_.address(), loop.kernel().random() | 1U),
                   loop.kernel().random(), loop.now()),
-      seal_(fleet::Keys(order.key), name, membership_.self().address, membership_.self().life),
+      seal_(fleet::Keys(order.key), name, membership_.self().address, membership_.self().incarnation),
       timer_(loop) {
     log_.info("fleet_listening", {{"at", net::to_text(socket_.address())}});
     wait();
@@ -55,42 +55,42 @@
     return peers_[address];
 }
 
-void Peers::say(const Letter& letter) {
-    const auto to = net::parse_address(letter.to);
+void Peers::send(const Outgoing& outgoing) {
+    const auto to = net::parse_address(outgoing.to);
     if (!to) return;
-    Peer& peer = peer_at(letter.to);
+    Peer& peer = peer_at(outgoing.to);
     // Gossip names a member's token before the first datagram to it: it need not be challenged for.
-    if (peer.token == 0) peer.token = letter.token;
-    seal_.set_life(membership_.self().life);
-    const std::string bytes = seal_.close(peer.token, encode(letter.message));
+    if (peer.token == 0) peer.token = outgoing.token;
+    seal_.set_incarnation(membership_.self().incarnation);
+    const std::string bytes = seal_.close(peer.token, encode(outgoing.message));
     socket_.send(bytes, *to);
     ++counts_.sent;
     counts_.sent_bytes += bytes.size();
-    if (letter.message.kind != Kind::Challenge) peer.pending = letter.message;
+    if (outgoing.message.kind != Kind::Challenge) peer.pending = outgoing.message;
 }
 
-void Peers::carry_out(const std::vector<Letter>& letters) {
-    for (const Letter& letter : letters) say(letter);
+void Peers::carry_out(const std::vector<Outgoing>& messages) {
+    for (const Outgoing& message : messages) send(message);
     for (const fleet::Event& event : membership_.take_events()) {
         log_.info("fleet", {{"what", std::string(name_of(event.what))},
                             {"name", event.who.name},
                             {"at", event.who.address},
-                            {"incarnation", std::to_string(event.who.life.incarnation)}});
+                            {"incarnation", std::to_string(event.who.incarnation.number)}});
     }
     for (const std::uint64_t token : membership_.take_forgotten()) seal_.forget(token);
     wait();
 }
 
-// Who does not know our life's token is told it, and nothing else comes of what it said.
+// Who does not know our process's token is told it, and nothing else comes of what it said.
 void Peers::challenge(const fleet::Seal::Opened& opened) {
     Peer& peer = peer_at(opened.at);
     if (loop_.now() < peer.challenged + challenge_every_s) return;
     peer.challenged = loop_.now();
-    peer.token = opened.life.token;
+    peer.token = opened.incarnation.token;
     ++counts_.challenges;
     Message message;
     message.kind = Kind::Challenge;
-    say({opened.at, message});
+    send({opened.at, message});
 }
 
 void Peers::heard(std::string_view bytes) {
@@ -101,49 +101,49 @@
     const auto message = fleet::decode(opened.body);
     if (!message) return;
     Peer& peer = peer_at(opened.at);
-    peer.token = opened.life.token;
+    peer.token = opened.incarnation.token;
     if (message->kind == Kind::Challenge) {
         // What we said last went out under no token, or under an old one: once more.
-        if (const auto pending = std::exchange(peer.pending, std::nullopt)) say({opened.at, *pending});
+        if (const auto pending = std::exchange(peer.pending, std::nullopt)) send({opened.at, *pending});
         return;
     }
-    carry_out(membership_.heard(opened.from, opened.at, opened.life, *message, loop_.now()));
+    carry_out(membership_.heard(opened.from, opened.at, opened.incarnation, *message, loop_.now()));
     if (membership_.retired()) return;
-    if (message->kind == Kind::Question && holds_) {
+    if (message->kind == Kind::SessionQuery && holds_) {
         Message answer;
-        answer.kind = Kind::Answer;
+        answer.kind = Kind::SessionReply;
         answer.number = message->number;
         answer.sessions = holds_(message->sessions);
-        say({opened.at, answer});
-    } else if (message->kind == Kind::Answer && told_) {
+        send({opened.at, answer});
+    } else if (message->kind == Kind::SessionReply && told_) {
         told_(opened.from, message->number, message->sessions);
     } else if (message->status) {
         if (heard_) heard_(opened.from, *message->status);
-        if (message->kind != Kind::Hail || !status_) return;
+        if (message->kind != Kind::StatusQuery || !status_) return;
         Message answer;
-        answer.kind = Kind::Status;
+        answer.kind = Kind::StatusReply;
         answer.status = status_();
-        say({opened.at, answer});
+        send({opened.at, answer});
     }
 }
 
-void Peers::hail(const fleet::Name& whom) {
+void Peers::query_status(const fleet::Name& whom) {
     const auto member = membership_.members().find(whom);
     if (member == membership_.members().end() || !status_) return;
-    Message hail;
-    hail.kind = Kind::Hail;
-    hail.status = status_();
-    say({member->second.word.address, hail});
+    Message query;
+    query.kind = Kind::StatusQuery;
+    query.status = status_();
+    send({member->second.record.address, query});
 }
 
 void Peers::ask(const fleet::Name& whom, std::uint64_t number, const Sessions& sessions) {
     const auto member = membership_.members().find(whom);
     if (member == membership_.members().end()) return;
-    Message question;
-    question.kind = Kind::Question;
-    question.number = number;
-    question.sessions = sessions;
-    say({member->second.word.address, question});
+    Message query;
+    query.kind = Kind::SessionQuery;
+    query.number = number;
+    query.sessions = sessions;
+    send({member->second.record.address, query});
 }
 
 void Peers::leave() {
--- a/src/agent/peers.h
+++ b/src/agent/peers.h
@@ -36,12 +36,13 @@
     using Told = std::function<void(const fleet::Name& by, std::uint64_t number, const Sessions& held)>;
     void hear_answers(Told told) { told_ = std::move(told); }
     void ask(const fleet::Name& whom, std::uint64_t number, const Sessions& sessions);
-    // How we are, told to whoever hails us; and what others tell of themselves, in a Hail or in answer to
+    // Our status, told to whoever queries it; and what others tell of theirs, in a query or in answer to
     // ours.
     using Heard = std::function<void(const fleet::Name& by, const fleet::Status& status)>;
     void tell_status(std::function<fleet::Status()> status) { status_ = std::move(status); }
     void hear_status(Heard heard) { heard_ = std::move(heard); }
-    void hail(const fleet::Name& whom);
+    void query_status(const fleet::Name& whom);
+    void hail(const fleet::Name& whom) { query_status(whom); }  // the former name
     const fleet::Membership& membership() const { return membership_; }
     const fleet::Seal& seal() const { return seal_; }
     struct Counts {
@@ -51,14 +52,14 @@
 
 private:
     struct Peer {                               // by address
-        std::uint64_t token = 0;                // of its life; 0: not known
+        std::uint64_t token = 0;                // of its process; 0: not known
         std::optional<fleet::Message> pending;  // said last, perhaps under a token that is old
         double challenged = 0;
     };
     Peer& peer_at(const fleet::Address& address);
     void heard(std::string_view bytes);
-    void say(const fleet::Letter& letter);
-    void carry_out(const std::vector<fleet::Letter>& letters);
+    void send(const fleet::Outgoing& outgoing);
+    void carry_out(const std::vector<fleet::Outgoing>& messages);
     void challenge(const fleet::Seal::Opened& opened);
     void wait();
 
--- a/src/fleet/gossip_queue.cpp
+++ b/src/fleet/gossip_queue.cpp
@@ -11,13 +11,13 @@
 constexpr std::ptrdiff_t kept_for_joins = 4;
 
 // Suspicions, deaths and refutations: whoever hears of them late calls a member dead that is alive.
-bool is_urgent(const Word& update) {
-    return update.health != Health::Alive || update.life.incarnation > 1;
+bool is_urgent(const MemberRecord& update) {
+    return update.health != Health::Alive || update.incarnation.number > 1;
 }
 
 }  // namespace
 
-void GossipQueue::push(const Word& update) {
+void GossipQueue::push(const MemberRecord& update) {
     entries_[update.name] = {update, 0, ++pushed_};
 }
 
@@ -43,10 +43,10 @@
     return order;
 }
 
-void GossipQueue::fill(std::vector<Word>& updates, std::size_t transmissions_most) {
-    const std::size_t room = words_most - std::min(words_most, updates.size());
+void GossipQueue::fill(std::vector<MemberRecord>& updates, std::size_t transmissions_most) {
+    const std::size_t room = updates_most - std::min(updates_most, updates.size());
     for (Entry* entry : in_order(room)) {
-        if (updates.size() >= words_most) break;
+        if (updates.size() >= updates_most) break;
         ++entry->transmissions;
         updates.push_back(entry->update);
     }
--- a/src/fleet/gossip_queue.h
+++ b/src/fleet/gossip_queue.h
@@ -7,21 +7,22 @@
 #include <map>
 #include <vector>
 
-#include "fleet/life.h"
+#include "fleet/member.h"
 
 namespace jasperspread::fleet {
 
 class GossipQueue {
 public:
     // An update takes the place of an earlier one on the same member and is told from the start.
-    void push(const Word& update);
-    // Adds updates to a message until it holds words_most; those told `transmissions_most` times are dropped.
-    void fill(std::vector<Word>& updates, std::size_t transmissions_most);
+    void push(const MemberRecord& update);
+    // Adds updates to a message until it holds updates_most; those told `transmissions_most` times are
+    // dropped.
+    void fill(std::vector<MemberRecord>& updates, std::size_t transmissions_most);
     std::size_t size() const { return entries_.size(); }
 
 private:
     struct Entry {
-        Word update;
+        MemberRecord update;
         std::size_t transmissions = 0;
         std::uint64_t serial = 0;  // of all that were pushed
     };
--- a/src/fleet/member_digests.cpp
+++ b/src/fleet/member_digests.cpp
@@ -27,9 +27,9 @@
 
 MemberDigests::MemberDigests() : buckets_(buckets) {}
 
-void MemberDigests::add(const Word& member) {
+void MemberDigests::add(const MemberRecord& member) {
     buckets_[bucket_of(member.name)] ^=
-        mixed(mixed(hash_of(member.name) ^ member.life.token) + member.life.incarnation);
+        mixed(mixed(hash_of(member.name) ^ member.incarnation.token) + member.incarnation.number);
 }
 
 bool MemberDigests::agrees(const std::vector<std::uint64_t>& others, std::string_view name) const {
--- a/src/fleet/member_digests.h
+++ b/src/fleet/member_digests.h
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-#include "fleet/life.h"
+#include "fleet/member.h"
 
 namespace jasperspread::fleet {
 
@@ -15,7 +15,7 @@
 public:
     MemberDigests();
     // Name and incarnation count; not health, which changes too often for two tables to be the same.
-    void add(const Word& member);
+    void add(const MemberRecord& member);
     // Whether the bucket of this member has the same digest there. Digests of another form never have.
     bool agrees(const std::vector<std::uint64_t>& others, std::string_view name) const;
     const std::vector<std::uint64_t>& values() const { return buckets_; }
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -8,19 +8,19 @@
 namespace jasperspread::fleet {
 namespace {
 
-// Our own health, from 0 (well): each step makes our probes wait longer by one period, up to:
-constexpr unsigned sickest = 4;
+// Our own local health, from 0 (well): each step makes our probes wait longer by one period, up to:
+constexpr unsigned unhealthiest = 4;
 // A turn that comes so much later than it was due means that this process stood still, as a part of the
 // period.
 constexpr double late_part = 0.5;
-// News is told so many times log2 of the fleet, which reaches all but surely.
-constexpr double tellings_each = 3;
-constexpr std::size_t leave_told = 8;
-constexpr int twin_asks = 5;
+// An update is told so many times log2 of the fleet, which reaches all but surely.
+constexpr double transmissions_factor = 3;
+constexpr std::size_t leave_receivers = 8;
+constexpr int name_conflict_pings = 5;
 // The longest pause between two whole lists, in periods.
 constexpr double list_pause_most = 64;
-// Who says that it lives says so to so many at once, beside the news.
-constexpr std::size_t refutation_told = 4;
+// A refutation goes to so many at once, beside the gossip.
+constexpr std::size_t refutation_receivers = 4;
 // A probe for another is forgotten after so many periods.
 constexpr double relay_periods = 8;
 
@@ -32,7 +32,7 @@
     return names[static_cast<std::size_t>(what)];
 }
 
-Membership::Membership(const Settings& settings, Word self, std::uint64_t seed, double now)
+Membership::Membership(const Settings& settings, MemberRecord self, std::uint64_t seed, double now)
     : set_(settings),
       self_(std::move(self)),
       random_(seed),
@@ -42,7 +42,7 @@
       next_sync_(now),
       next_list_(now),
       turned_(now) {
-    if (self_.life.incarnation == 0) self_.life.incarnation = 1;
+    if (self_.incarnation.number == 0) self_.incarnation.number = 1;
     // Spread over the period, so that a fleet that starts at one instant does not probe in step.
     next_probe_ += uniform() * set_.probe_every_s;
     self_.health = Health::Alive;
@@ -52,102 +52,105 @@
 std::size_t Membership::present() const {
     return 1 +
            static_cast<std::size_t>(std::count_if(members_.begin(), members_.end(), [](const auto& entry) {
-               return entry.second.word.health <= Health::Suspect;
+               return entry.second.record.health <= Health::Suspect;
            }));
 }
 
 std::vector<Name> Membership::there() const {
     std::vector<Name> names;
     for (const auto& [name, member] : members_) {
-        if (member.word.health <= Health::Suspect) names.push_back(name);
+        if (member.record.health <= Health::Suspect) names.push_back(name);
     }
     return names;
 }
 
 double Membership::period() const {
-    return set_.probe_every_s * (1 + sickness_);
+    return set_.probe_every_s * (1 + unhealthiness_);
 }
 
-std::size_t Membership::tellings() const {
-    return static_cast<std::size_t>(std::ceil(tellings_each * std::log2(static_cast<double>(present()) + 1)));
+std::size_t Membership::transmissions_most() const {
+    return static_cast<std::size_t>(
+        std::ceil(transmissions_factor * std::log2(static_cast<double>(present()) + 1)));
 }
 
-// ---- What is known ----
+// ---- The member table ----
 
-void Membership::set(Member& member, const Word& word, double now) {
-    const Word before = member.word;
-    if (before.life.token != word.life.token) forgotten_.push_back(before.life.token);
-    member.word = word;
+void Membership::set(Member& member, const MemberRecord& update, double now) {
+    const MemberRecord before = member.record;
+    if (before.incarnation.token != update.incarnation.token) forgotten_.push_back(before.incarnation.token);
+    member.record = update;
     member.since = now;
-    if (word.health != Health::Suspect) suspicions_.end(word.name);
+    if (update.health != Health::Suspect) suspicions_.end(update.name);
     using What = Event::What;
-    const bool was_there = before.health <= Health::Suspect, same_life = before.life.token == word.life.token;
-    // A new life may be heard of by a doubt first.
-    if (!same_life && word.health <= Health::Suspect) events_.push_back({What::Returned, word});
-    if (word.health == Health::Alive) {
-        if (same_life && before.health != Health::Alive)
-            events_.push_back({was_there ? What::Recovered : What::Joined, word});
-    } else if (word.health == Health::Suspect) {
-        events_.push_back({What::Suspected, word});
-    } else if (was_there || !same_life) {
-        events_.push_back({word.health == Health::Dead ? What::Died : What::Left, word});
+    const bool was_there = before.health <= Health::Suspect,
+               same_process = before.incarnation.token == update.incarnation.token;
+    // A new process may be heard of by a suspicion first.
+    if (!same_process && update.health <= Health::Suspect) events_.push_back({What::Returned, update});
+    if (update.health == Health::Alive) {
+        if (same_process && before.health != Health::Alive)
+            events_.push_back({was_there ? What::Recovered : What::Joined, update});
+    } else if (update.health == Health::Suspect) {
+        events_.push_back({What::Suspected, update});
+    } else if (was_there || !same_process) {
+        events_.push_back({update.health == Health::Dead ? What::Died : What::Left, update});
     }
-    gossip_.push(word);
+    gossip_.push(update);
 }
 
-void Membership::learn(const Word& word, const Name& from, Source source, double now) {
-    if (word.name.empty() || word.life.token == 0) return;
-    if (word.name == self_.name) return learn_of_self(word);
-    const auto it = members_.find(word.name);
+void Membership::apply(const MemberRecord& update, const Name& from, Source source, double now) {
+    if (update.name.empty() || update.incarnation.token == 0) return;
+    if (update.name == self_.name) return apply_to_self(update);
+    const auto it = members_.find(update.name);
     if (it == members_.end()) {
         // Of the dead whom we never knew nothing is kept: told round and round, they would never be
         // forgotten.
-        if (word.health > Health::Suspect) return;
-        members_[word.name] = {word, now};
-        events_.push_back({Event::What::Joined, word});
-        if (word.health == Health::Suspect) suspicions_.begin(word.name, from, now);
+        if (update.health > Health::Suspect) return;
+        members_[update.name] = {update, now};
+        events_.push_back({Event::What::Joined, update});
+        if (update.health == Health::Suspect) suspicions_.begin(update.name, from, now);
         // Whoever lacks a member that a list told of asks for a list, too; queued with all agents, the
         // members of a fleet that starts at once would hold up suspicions and refutations for minutes.
-        if (source == Source::Gossip || word.health == Health::Suspect) gossip_.push(word);
+        if (source == Source::Gossip || update.health == Health::Suspect) gossip_.push(update);
         return;
     }
     Member& member = it->second;
-    const bool news = supersedes(word.life, word.health, member.word.life, member.word.health);
-    if (word.health == Health::Suspect && word.life == member.word.life &&
-        member.word.health <= Health::Suspect)
+    const bool is_newer =
+        supersedes(update.incarnation, update.health, member.record.incarnation, member.record.health);
+    if (update.health == Health::Suspect && update.incarnation == member.record.incarnation &&
+        member.record.health <= Health::Suspect)
         return suspect(member, from, now);
-    if (!news) return;
-    if (word.health == Health::Suspect) suspicions_.begin(word.name, from, now);
-    set(member, word, now);
+    if (!is_newer) return;
+    if (update.health == Health::Suspect) suspicions_.begin(update.name, from, now);
+    set(member, update, now);
 }
 
-void Membership::suspect(Member& member, const Name& accuser, double now) {
-    if (member.word.health != Health::Alive) return suspicions_.confirm(member.word.name, accuser);
-    suspicions_.begin(member.word.name, accuser, now);
-    Word word = member.word;
-    word.health = Health::Suspect;
-    set(member, word, now);
+void Membership::suspect(Member& member, const Name& by, double now) {
+    if (member.record.health != Health::Alive) return suspicions_.confirm(member.record.name, by);
+    suspicions_.begin(member.record.name, by, now);
+    MemberRecord update = member.record;
+    update.health = Health::Suspect;
+    set(member, update, now);
 }
 
 // Whoever would call it dead first speaks with it once more: what it said to others may not have come here
 // yet.
-void Membership::end_suspicions(double now, std::vector<Letter>& out) {
+void Membership::check_suspicions(double now, std::vector<Outgoing>& out) {
     if (suspicions_.empty()) return;
     const Suspicions::Due due = suspicions_.take_due(now, present());
     for (const Name& name : due.to_ping)
-        out.push_back(to_member(members_.at(name), with_news(Kind::Ping, ++numbers_, name)));
+        out.push_back(to_member(members_.at(name), with_gossip(Kind::Ping, ++numbers_, name)));
     for (const Name& name : due.dead) {
-        Word word = members_.at(name).word;
-        word.health = Health::Dead;
-        set(members_.at(name), word, now);
+        MemberRecord update = members_.at(name).record;
+        update.health = Health::Dead;
+        set(members_.at(name), update, now);
     }
 }
 
 // ---- Ourselves ----
 
 void Membership::refute(std::uint64_t above) {
-    self_.life.incarnation = std::max(self_.life.incarnation, above + 1);
-    refuted_ = true;
+    self_.incarnation.number = std::max(self_.incarnation.number, above + 1);
+    refutation_due_ = true;
     gossip_.push(self_);
 }
 
@@ -156,36 +159,35 @@
     events_.push_back({Event::What::NameTaken, self_});
 }
 
-void Membership::learn_of_self(const Word& word) {
-    if (word.life.token == self_.life.token) {
-        // Somebody takes us for sick or dead: we say that we live, louder.
-        if (word.health != Health::Alive && word.life.incarnation >= self_.life.incarnation)
-            refute(word.life.incarnation);
+void Membership::apply_to_self(const MemberRecord& update) {
+    if (update.incarnation.token == self_.incarnation.token) {
+        // Somebody suspects us, or takes us for dead: a higher incarnation refutes it.
+        if (update.health != Health::Alive && update.incarnation.number >= self_.incarnation.number)
+            refute(update.incarnation.number);
         return;
     }
-    // An earlier life of ours, or a twin. Both are told that we live, above what they say; where the other
+    // An earlier process of our name, or a name conflict. We go above what either says; where the other
     // one is said to be at another address it is asked there, too.
-    if (word.life.incarnation >= self_.life.incarnation) refute(word.life.incarnation);
-    const bool there = word.health <= Health::Suspect && word.address != self_.address;
-    if (there && !twin_) twin_ = Twin{word.address, twin_asks};
+    if (update.incarnation.number >= self_.incarnation.number) refute(update.incarnation.number);
+    const bool there = update.health <= Health::Suspect && update.address != self_.address;
+    if (there && !name_conflict_) name_conflict_ = NameConflict{update.address, name_conflict_pings};
 }
 
-// ---- What is said ----
+// ---- Messages ----
 
-Letter Membership::to_member(const Member& member, Message message) {
-    return {member.word.address, std::move(message), member.word.life.token};
+Outgoing Membership::to_member(const Member& member, Message message) {
+    return {member.record.address, std::move(message), member.record.incarnation.token};
 }
 
-Message Membership::with_news(Kind kind, std::uint64_t number, const Name& to) {
+Message Membership::with_gossip(Kind kind, std::uint64_t number, const Name& to) {
     Message message;
     message.kind = kind;
     message.number = number;
-    // Who is taken for sick or dead hears of it from whoever speaks with it, so that it can say that it
-    // lives.
-    const auto doubted = members_.find(to);
-    if (doubted != members_.end() && doubted->second.word.health != Health::Alive)
-        message.words.push_back(doubted->second.word);
-    gossip_.fill(message.words, tellings());
+    // Who is suspected or dead to us hears of it from whoever speaks with it, so that it can refute that.
+    const auto receiver = members_.find(to);
+    if (receiver != members_.end() && receiver->second.record.health != Health::Alive)
+        message.updates.push_back(receiver->second.record);
+    gossip_.fill(message.updates, transmissions_most());
     return message;
 }
 
@@ -193,38 +195,38 @@
     MemberDigests digests;
     digests.add(self_);
     for (const auto& [name, member] : members_) {
-        if (member.word.health <= Health::Suspect) digests.add(member.word);
+        if (member.record.health <= Health::Suspect) digests.add(member.record);
     }
     return digests;
 }
 
 // All who are there, in as many messages as it takes, less those in whose buckets the asker's digests show
-// nothing else than is known here; and what is known of the asker, its earlier lives too.
+// nothing else than is known here; and what is known of the asker, its earlier processes too.
 void Membership::list_to(const Name& asker, const Address& to, const Message& join,
-                         std::vector<Letter>& out) {
+                         std::vector<Outgoing>& out) {
     const MemberDigests own = digests();
     Message message;
     message.kind = Kind::List;
     message.number = join.number;
-    message.words.push_back(self_);
+    message.updates.push_back(self_);
     const auto flush = [&] {
         out.push_back({to, message});
-        message.words.clear();
+        message.updates.clear();
     };
     for (const auto& [name, member] : members_) {
-        const bool is_listed = member.word.health <= Health::Suspect && !own.agrees(join.digests, name);
-        const bool asker_differs = name == asker && member.word.health != Health::Alive;
+        const bool is_listed = member.record.health <= Health::Suspect && !own.agrees(join.digests, name);
+        const bool asker_differs = name == asker && member.record.health != Health::Alive;
         if (!is_listed && !asker_differs) continue;
-        if (message.words.size() >= words_most) flush();
-        message.words.push_back(member.word);
+        if (message.updates.size() >= updates_most) flush();
+        message.updates.push_back(member.record);
     }
     flush();
 }
 
-std::vector<const Member*> Membership::some(std::size_t count, const Name& but) {
+std::vector<const Member*> Membership::random_members(std::size_t count, const Name& but) {
     std::vector<const Member*> there;
     for (const auto& [name, member] : members_) {
-        if (member.word.health <= Health::Suspect && name != but) there.push_back(&member);
+        if (member.record.health <= Health::Suspect && name != but) there.push_back(&member);
     }
     std::shuffle(there.begin(), there.end(), random_);
     there.resize(std::min(there.size(), count));
@@ -234,45 +236,45 @@
 // Round after round, each in an order of its own: nobody waits longer than two rounds for a probe.
 std::optional<Name> Membership::next_probed() {
     for (int fresh = 0; fresh < 2; ++fresh) {
-        while (!round_.empty()) {
-            const Name name = std::move(round_.back());
-            round_.pop_back();
+        while (!probe_order_.empty()) {
+            const Name name = std::move(probe_order_.back());
+            probe_order_.pop_back();
             const auto it = members_.find(name);
-            if (it != members_.end() && it->second.word.health <= Health::Suspect) return name;
+            if (it != members_.end() && it->second.record.health <= Health::Suspect) return name;
         }
-        round_ = there();
-        std::shuffle(round_.begin(), round_.end(), random_);
+        probe_order_ = there();
+        std::shuffle(probe_order_.begin(), probe_order_.end(), random_);
     }
     return std::nullopt;
 }
 
-void Membership::begin_probe(double now, std::vector<Letter>& out) {
+void Membership::begin_probe(double now, std::vector<Outgoing>& out) {
     next_probe_ = now + period();
-    if (twin_) {
+    if (name_conflict_) {
         Message ask;
         ask.kind = Kind::Ping;
         ask.number = ++numbers_;
-        out.push_back({twin_->where, ask});
-        if (--twin_->asks == 0) twin_.reset();  // no answer: it was an earlier life
+        out.push_back({name_conflict_->where, ask});
+        if (--name_conflict_->asks == 0) name_conflict_.reset();  // no answer: it was an earlier process
     }
-    const bool second = doubted_.has_value() && members_.contains(*doubted_);
-    const auto name = second ? doubted_ : next_probed();
-    doubted_.reset();
+    const bool second = to_probe_again_.has_value() && members_.contains(*to_probe_again_);
+    const auto name = second ? to_probe_again_ : next_probed();
+    to_probe_again_.reset();
     if (!name) return;
     ++counts_.probes;
-    probe_ =
-        Probe{*name, ++numbers_, now + set_.answer_s * (1 + sickness_), next_probe_, false, second, 0, 0};
-    out.push_back(to_member(members_.at(*name), with_news(Kind::Ping, probe_->number, *name)));
+    probe_ = Probe{*name, ++numbers_, now + set_.answer_s * (1 + unhealthiness_), next_probe_, false, second,
+                   0,     0};
+    out.push_back(to_member(members_.at(*name), with_gossip(Kind::Ping, probe_->number, *name)));
 }
 
-void Membership::ask_for_help(std::vector<Letter>& out) {
-    probe_->asked_help = true;
+void Membership::request_indirect_probes(std::vector<Outgoing>& out) {
+    probe_->is_indirect = true;
     const auto whom = members_.find(probe_->whom);
     if (whom == members_.end()) return;
-    out.push_back(to_member(whom->second, with_news(Kind::Ping, probe_->number, probe_->whom)));
-    for (const Member* helper : some(set_.helpers, probe_->whom)) {
-        Message message = with_news(Kind::PingFor, probe_->number, helper->word.name);
-        message.target = whom->second.word;
+    out.push_back(to_member(whom->second, with_gossip(Kind::Ping, probe_->number, probe_->whom)));
+    for (const Member* helper : random_members(set_.helpers, probe_->whom)) {
+        Message message = with_gossip(Kind::PingRequest, probe_->number, helper->record.name);
+        message.target = whom->second.record;
         out.push_back(to_member(*helper, std::move(message)));
         ++probe_->helpers;
     }
@@ -283,14 +285,14 @@
     const Probe probe = *std::exchange(probe_, std::nullopt);
     ++counts_.unanswered;
     const bool alone = probe.helpers > 0 && probe.nacks == 0;
-    const bool still_to_doubt_ourselves = alone && sickness_ < sickest;
-    if (sickness_ < sickest) sickness_ += alone || probe.helpers == 0 ? 1U : 0U;
+    const bool may_be_our_fault = alone && unhealthiness_ < unhealthiest;
+    if (unhealthiness_ < unhealthiest) unhealthiness_ += alone || probe.helpers == 0 ? 1U : 0U;
     const auto it = members_.find(probe.whom);
-    if (it == members_.end() || still_to_doubt_ourselves || it->second.word.health > Health::Suspect) return;
+    if (it == members_.end() || may_be_our_fault || it->second.record.health > Health::Suspect) return;
     // Over links that lose a fifth one period in ten ends like this though all are well; two in a row hardly
     // ever.
     if (!probe.second) {
-        doubted_ = probe.whom;
+        to_probe_again_ = probe.whom;
         return;
     }
     suspect(it->second, self_.name, now);
@@ -298,13 +300,13 @@
 
 // One of those who are dead to us, or a seed: after a split the first such word that gets through joins both
 // sides. Until anybody is there, all seeds are asked.
-void Membership::sync(std::vector<Letter>& out) {
+void Membership::rejoin(std::vector<Outgoing>& out) {
     Message join;
     join.kind = Kind::Join;
-    join.words.push_back(self_);
+    join.updates.push_back(self_);
     std::vector<Address> gone;
     for (const auto& [name, member] : members_) {
-        if (member.word.health == Health::Dead) gone.push_back(member.word.address);
+        if (member.record.health == Health::Dead) gone.push_back(member.record.address);
     }
     if (present() == 1) {
         for (const Address& seed : set_.seeds) {
@@ -313,7 +315,7 @@
     } else {
         for (const Address& seed : set_.seeds) {
             const auto known = [&](const auto& entry) {
-                return entry.second.word.address == seed && entry.second.word.health <= Health::Suspect;
+                return entry.second.record.address == seed && entry.second.record.health <= Health::Suspect;
             };
             if (seed != self_.address && std::none_of(members_.begin(), members_.end(), known))
                 gone.push_back(seed);
@@ -322,10 +324,10 @@
     if (!gone.empty()) out.push_back({gone[random_() % gone.size()], join});
 }
 
-// The whole list from one who is there: soon after our start, when all may be new to each other and news
-// would take long, and then ever more seldom, for what news has missed. An answer that never came is asked
+// The whole list from one who is there: soon after our start, when all may be new to each other and gossip
+// would take long, and then ever more seldom, for what gossip has missed. An answer that never came is asked
 // for again no later than the one before.
-void Membership::ask_for_list(double now, std::vector<Letter>& out) {
+void Membership::request_list(double now, std::vector<Outgoing>& out) {
     const double longer = list_asked_ == 0 ? 2 * list_pause_ : list_pause_;
     list_pause_ = std::clamp(longer, set_.probe_every_s, list_pause_most * set_.probe_every_s);
     next_list_ = now + list_pause_ * (0.75 + 0.5 * uniform());
@@ -333,14 +335,14 @@
     join.kind = Kind::Join;
     join.number = list_asked_ = ++numbers_;
     join.digests = digests().values();
-    join.words.push_back(self_);
-    for (const Member* one : some(1, "")) out.push_back(to_member(*one, join));
+    join.updates.push_back(self_);
+    for (const Member* one : random_members(1, "")) out.push_back(to_member(*one, join));
 }
 
 // One that told of somebody new may have had more to tell, in datagrams that were lost: soon another one.
-void Membership::list_heard(const Message& message, bool told_news, double now) {
+void Membership::on_list(const Message& message, bool told_new_member, double now) {
     if (message.number == list_asked_) list_asked_ = 0;
-    if (!told_news) return;
+    if (!told_new_member) return;
     list_pause_ = 0;
     next_list_ = std::min(next_list_, now + set_.probe_every_s * (0.75 + 0.5 * uniform()));
 }
@@ -353,13 +355,13 @@
     relays_.postpone(missed);
 }
 
-std::vector<Letter> Membership::on_time(double now) {
-    std::vector<Letter> out;
+std::vector<Outgoing> Membership::on_time(double now) {
+    std::vector<Outgoing> out;
     if (retired_) return out;
     const double missed = now - std::max(turned_, std::min(due(), now));
     if (missed > late_part * set_.probe_every_s) stood_still(missed);
     turned_ = now;
-    if (probe_ && !probe_->asked_help && now >= probe_->help_at) ask_for_help(out);
+    if (probe_ && !probe_->is_indirect && now >= probe_->indirect_at) request_indirect_probes(out);
     if (probe_ && now >= probe_->ends) end_probe(now);
     if (!probe_ && now >= next_probe_) begin_probe(now, out);
     for (const PingRelays::Relay& relay : relays_.take_unanswered(now)) {
@@ -368,17 +370,17 @@
         nack.number = relay.asker_number;
         out.push_back({relay.asker, nack});
     }
-    end_suspicions(now, out);
-    if (now >= next_list_) ask_for_list(now, out);
+    check_suspicions(now, out);
+    if (now >= next_list_) request_list(now, out);
     if (now >= next_sync_) {
         // Spread, so that a fleet that came back at one instant does not ask in step.
         const double part = 0.75 + 0.5 * uniform();
         next_sync_ = now + (present() == 1 ? std::min(set_.sync_s, set_.probe_every_s) : set_.sync_s) * part;
-        sync(out);
+        rejoin(out);
         for (auto it = members_.begin(); it != members_.end();) {
             const Member& member = it->second;
-            const bool gone = member.word.health >= Health::Dead && now >= member.since + set_.forget_s;
-            if (gone) forgotten_.push_back(member.word.life.token);
+            const bool gone = member.record.health >= Health::Dead && now >= member.since + set_.forget_s;
+            if (gone) forgotten_.push_back(member.record.incarnation.token);
             it = gone ? members_.erase(it) : std::next(it);
         }
     }
@@ -388,44 +390,47 @@
 double Membership::due() const {
     double at = std::min({next_probe_, next_sync_, next_list_});
     if (probe_)
-        at = std::min(at, probe_->asked_help ? probe_->ends : std::min(probe_->help_at, probe_->ends));
+        at = std::min(at, probe_->is_indirect ? probe_->ends : std::min(probe_->indirect_at, probe_->ends));
     at = std::min(at, relays_.due());
     return suspicions_.empty() ? at : std::min(at, suspicions_.due(present()));
 }
 
-std::vector<Letter> Membership::heard(const Name& from, const Address& at, const Life& life,
-                                      const Message& message, double now) {
-    std::vector<Letter> out;
+std::vector<Outgoing> Membership::heard(const Name& from, const Address& at, const Incarnation& incarnation,
+                                        const Message& message, double now) {
+    std::vector<Outgoing> out;
     if (retired_) return out;
     if (from == self_.name) {
-        // Only a twin speaks under our name with another token; the larger one keeps it.
-        const bool twin = life.token != self_.life.token && life.token > self_.life.token;
-        if (twin) {
+        // Only another process speaks under our name with another token; the larger one keeps it.
+        const bool other_keeps_name =
+            incarnation.token != self_.incarnation.token && incarnation.token > self_.incarnation.token;
+        if (other_keeps_name) {
             retire();
             return out;
         }
-        if (life.token != self_.life.token) out.push_back({at, with_news(Kind::Ack, message.number, from)});
+        if (incarnation.token != self_.incarnation.token)
+            out.push_back({at, with_gossip(Kind::Ack, message.number, from)});
         return out;
     }
-    learn({from, at, life, Health::Alive}, from, Source::Gossip, now);
+    apply({from, at, incarnation, Health::Alive}, from, Source::Gossip, now);
     const std::size_t known = members_.size();
     const Source source = message.kind == Kind::List ? Source::List : Source::Gossip;
-    for (const Word& word : message.words) learn(word, from, source, now);
-    if (message.kind == Kind::List) list_heard(message, members_.size() > known, now);
-    if (std::exchange(refuted_, false)) {
-        Message lives;
-        lives.kind = Kind::List;
-        lives.words.push_back(self_);
-        for (const Member* one : some(refutation_told, "")) out.push_back(to_member(*one, lives));
+    for (const MemberRecord& update : message.updates) apply(update, from, source, now);
+    if (message.kind == Kind::List) on_list(message, members_.size() > known, now);
+    if (std::exchange(refutation_due_, false)) {
+        Message refutation;
+        refutation.kind = Kind::List;
+        refutation.updates.push_back(self_);
+        for (const Member* one : random_members(refutation_receivers, ""))
+            out.push_back(to_member(*one, refutation));
     }
     switch (message.kind) {
         case Kind::Ping:
-            out.push_back({at, with_news(Kind::Ack, message.number, from)});
+            out.push_back({at, with_gossip(Kind::Ack, message.number, from)});
             break;
         case Kind::Ack: {
             if (probe_ && message.number == probe_->number) {
                 probe_.reset();
-                if (sickness_ > 0) --sickness_;
+                if (unhealthiness_ > 0) --unhealthiness_;
             }
             const auto relay = relays_.take(message.number);
             if (!relay) break;
@@ -439,11 +444,11 @@
         case Kind::Nack:
             if (probe_ && message.number == probe_->number) ++probe_->nacks;
             break;
-        case Kind::PingFor: {
+        case Kind::PingRequest: {
             const std::uint64_t number = ++numbers_;
             relays_.add(number, {at, message.number, now + set_.answer_s, false});
-            out.push_back({message.target.address, with_news(Kind::Ping, number, message.target.name),
-                           message.target.life.token});
+            out.push_back({message.target.address, with_gossip(Kind::Ping, number, message.target.name),
+                           message.target.incarnation.token});
             break;
         }
         case Kind::Join:
@@ -451,24 +456,25 @@
             break;
         case Kind::List:
         case Kind::Challenge:
-        case Kind::Question:  // not the membership's
-        case Kind::Answer:
-        case Kind::Hail:
-        case Kind::Status:
+        case Kind::SessionQuery:  // not the membership's
+        case Kind::SessionReply:
+        case Kind::StatusQuery:
+        case Kind::StatusReply:
             break;
     }
     return out;
 }
 
-std::vector<Letter> Membership::leave() {
-    std::vector<Letter> out;
+std::vector<Outgoing> Membership::leave() {
+    std::vector<Outgoing> out;
     if (retired_) return out;
     retired_ = true;
     self_.health = Health::Left;
     Message message;
     message.kind = Kind::List;
-    message.words.push_back(self_);
-    for (const Member* member : some(leave_told, "")) out.push_back(to_member(*member, message));
+    message.updates.push_back(self_);
+    for (const Member* member : random_members(leave_receivers, ""))
+        out.push_back(to_member(*member, message));
     return out;
 }
 
--- a/src/fleet/message.cpp
+++ b/src/fleet/message.cpp
@@ -13,9 +13,9 @@
 constexpr std::uint64_t version = 1;
 
 // [name, address, incarnation, token, health]
-json written(const Word& word) {
-    return json::array({word.name, word.address, word.life.incarnation, word.life.token,
-                        static_cast<unsigned>(word.health)});
+json written(const MemberRecord& update) {
+    return json::array({update.name, update.address, update.incarnation.number, update.incarnation.token,
+                        static_cast<unsigned>(update.health)});
 }
 
 bool read_text(const json& from, std::size_t most, std::string& to) {
@@ -31,15 +31,15 @@
     return true;
 }
 
-bool read_word(const json& from, Word& word) {
+bool read_record(const json& from, MemberRecord& update) {
     constexpr std::size_t parts = 5;
     std::uint64_t health = 0;
     if (!from.is_array() || from.size() != parts) return false;
-    if (!read_text(from[0], name_most, word.name) || !read_text(from[1], address_most, word.address) ||
-        !read_number(from[2], word.life.incarnation) || !read_number(from[3], word.life.token) ||
+    if (!read_text(from[0], name_most, update.name) || !read_text(from[1], address_most, update.address) ||
+        !read_number(from[2], update.incarnation.number) || !read_number(from[3], update.incarnation.token) ||
         !read_number(from[4], health) || health > static_cast<std::uint64_t>(Health::Left))
         return false;
-    word.health = static_cast<Health>(health);
+    update.health = static_cast<Health>(health);
     return true;
 }
 
@@ -79,17 +79,17 @@
 }
 
 constexpr bool tells_status(Kind kind) {
-    return kind == Kind::Hail || kind == Kind::Status;
+    return kind == Kind::StatusQuery || kind == Kind::StatusReply;
 }
 
 }  // namespace
 
 std::string encode(const Message& message) {
-    json words = json::array();
-    for (const Word& word : message.words) words.push_back(written(word));
+    json updates = json::array();
+    for (const MemberRecord& update : message.updates) updates.push_back(written(update));
     json whole =
         json::array({version, static_cast<unsigned>(message.kind), message.number, written(message.target),
-                     words, message.kind == Kind::Join ? message.digests : message.sessions});
+                     updates, message.kind == Kind::Join ? message.digests : message.sessions});
     // Only these have a seventh part, so that agents of earlier versions read all others.
     if (tells_status(message.kind)) whole.push_back(written(message.status.value_or(Status{})));
     std::string bytes;
@@ -104,16 +104,16 @@
     Message message;
     if (!whole.is_array() || whole.size() < parts || whole.size() > parts + 1 ||
         !read_number(whole[0], told_version) || told_version != version || !read_number(whole[1], kind) ||
-        kind > static_cast<std::uint64_t>(Kind::Status) || !read_number(whole[2], message.number) ||
-        !read_word(whole[3], message.target) || !whole[4].is_array() || whole[4].size() > words_most ||
+        kind > static_cast<std::uint64_t>(Kind::StatusReply) || !read_number(whole[2], message.number) ||
+        !read_record(whole[3], message.target) || !whole[4].is_array() || whole[4].size() > updates_most ||
         !whole[5].is_array() || whole[5].size() > sessions_most)
         return std::nullopt;
     message.kind = static_cast<Kind>(kind);
     if (tells_status(message.kind) != (whole.size() > parts)) return std::nullopt;
     if (tells_status(message.kind) && !read_status(whole[parts], message.status.emplace()))
         return std::nullopt;
-    for (const json& word : whole[4]) {
-        if (!read_word(word, message.words.emplace_back())) return std::nullopt;
+    for (const json& update : whole[4]) {
+        if (!read_record(update, message.updates.emplace_back())) return std::nullopt;
     }
     // Agents of earlier versions send no digests, and pass over them.
     auto& numbers = message.kind == Kind::Join ? message.digests : message.sessions;
--- a/src/fleet/ping_relays.h
+++ b/src/fleet/ping_relays.h
@@ -7,7 +7,7 @@
 #include <optional>
 #include <vector>
 
-#include "fleet/life.h"
+#include "fleet/member.h"
 
 namespace jasperspread::fleet {
 
--- a/src/fleet/seal.cpp
+++ b/src/fleet/seal.cpp
@@ -26,8 +26,8 @@
 
 // [sender, its address, its incarnation, its token, the receiver's token, counter, body]
 std::string Seal::close(std::uint64_t to, std::string_view body) {
-    const json whole = json::array(
-        {own_, at_, life_.incarnation, life_.token, to, ++sent_, json::binary({body.begin(), body.end()})});
+    const json whole = json::array({own_, at_, incarnation_.number, incarnation_.token, to, ++sent_,
+                                    json::binary({body.begin(), body.end()})});
     std::string bytes;
     json::to_cbor(whole, bytes);
     const keys::Mac mac = keys_.sign(bytes);
@@ -79,15 +79,15 @@
     }
     opened.from = whole[0].get<std::string>();
     opened.at = whole[1].get<std::string>();
-    opened.life = {whole[2].get<std::uint64_t>(), whole[3].get<std::uint64_t>()};
+    opened.incarnation = {whole[2].get<std::uint64_t>(), whole[3].get<std::uint64_t>()};
     const auto to = whole[4].get<std::uint64_t>();
     opened.to_nobody = to == 0;
-    if (to != life_.token) {
+    if (to != incarnation_.token) {
         ++counts_.unknown;
         opened.fault = SealFault::Unknown;
         return opened;
     }
-    if (!is_fresh(opened.life.token, whole[5].get<std::uint64_t>())) {
+    if (!is_fresh(opened.incarnation.token, whole[5].get<std::uint64_t>())) {
         ++counts_.repeated;
         opened.fault = SealFault::Repeated;
         return opened;
--- a/src/fleet/seal.h
+++ b/src/fleet/seal.h
@@ -1,5 +1,6 @@
-// The seal of a datagram between agents: a keyed MAC, the sender's name and life, a counter, and the token of
-// the receiver's life, so that what was recorded is worth nothing in any life (docs/design/fleet.md).
+// The seal of a datagram between agents: a keyed MAC, the sender's name and incarnation, a counter, and the
+// token of the receiver's process, so that what was recorded is worth nothing to another one
+// (docs/design/fleet.md).
 #pragma once
 
 #include <cstdint>
@@ -7,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-#include "fleet/life.h"
+#include "fleet/member.h"
 #include "keys/mac_keys.h"
 
 namespace jasperspread::fleet {
@@ -19,7 +20,7 @@
     None,
     Forged,      // the MAC is not by our key
     Unreadable,  // it is, but what is under it is of no known form
-    Unknown,     // it does not name our life: the sender must be told our token
+    Unknown,     // it does not name our token: the sender must be told our token
     Repeated,    // it came before, or is too old to tell
 };
 
@@ -29,7 +30,7 @@
         SealFault fault = SealFault::None;
         Name from;   // from here on only where it was not forged
         Address at;  // where the sender says that it listens: a datagram's own source can be made up
-        Life life;
+        Incarnation incarnation;
         bool to_nobody = false;  // the sender knew no token of ours, not an old one
         std::string body;
     };
@@ -37,12 +38,12 @@
         std::uint64_t forged = 0, unreadable = 0, unknown = 0, repeated = 0;
     };
 
-    Seal(Keys keys, Name own, Address at, Life life)
-        : keys_(std::move(keys)), own_(std::move(own)), at_(std::move(at)), life_(life) {}
+    Seal(Keys keys, Name own, Address at, Incarnation incarnation)
+        : keys_(std::move(keys)), own_(std::move(own)), at_(std::move(at)), incarnation_(incarnation) {}
 
     void change(Keys keys) { keys_ = std::move(keys); }
-    // A member that says that it lives raises its incarnation; the token stays.
-    void set_life(const Life& life) { life_ = life; }
+    // A member that refutes a suspicion raises its incarnation; the token stays.
+    void set_incarnation(const Incarnation& incarnation) { incarnation_ = incarnation; }
     // `to`: the receiver's token, 0 where it is not known.
     std::string close(std::uint64_t to, std::string_view body);
     Opened open(std::string_view datagram);
@@ -58,7 +59,7 @@
     Keys keys_;
     const Name own_;
     const Address at_;
-    Life life_;
+    Incarnation incarnation_;
     std::uint64_t sent_ = 0;
     std::map<std::uint64_t, Window> seen_;  // by the sender's token
     Counts counts_;
--- a/src/fleet/suspicions.h
+++ b/src/fleet/suspicions.h
@@ -7,7 +7,7 @@
 #include <set>
 #include <vector>
 
-#include "fleet/life.h"
+#include "fleet/member.h"
 #include "fleet/settings.h"
 
 namespace jasperspread::fleet {
--- a/tests/fleet/explore_test.cpp
+++ b/tests/fleet/explore_test.cpp
@@ -29,7 +29,7 @@
 struct Flying {
     double at = 0;
     int from = 0, to = 0;
-    Life life;
+    Incarnation incarnation;
     Message message;
 };
 
@@ -38,7 +38,7 @@
     std::vector<std::optional<Membership>> members{agents};
     std::vector<double> paused_until = std::vector<double>(agents, 0);
     std::vector<Flying> flying;
-    std::map<std::pair<int, Name>, Life> known;  // by whom, of whom
+    std::map<std::pair<int, Name>, Incarnation> known;  // by whom, of whom
     double now = 100;
     std::uint64_t tokens = 1;
     std::size_t died = 0;
@@ -55,21 +55,22 @@
         set.suspect_s = 2;
         set.sync_s = 2;
         set.seeds = {address_at(0), address_at(1)};
-        const Word self{name_at(agent), address_at(agent), {1, ++tokens}, Health::Alive};
+        const MemberRecord self{name_at(agent), address_at(agent), {1, ++tokens}, Health::Alive};
         members[static_cast<std::size_t>(agent)].emplace(set, self, 7 + tokens, now);
     }
     void kill(int agent) { members[static_cast<std::size_t>(agent)].reset(); }
 
-    void send(int from, const std::vector<Letter>& letters, std::vector<int>* to_come) {
-        const Word& self = members[static_cast<std::size_t>(from)]->self();
-        for (const Letter& letter : letters) {
+    void send(int from, const std::vector<Outgoing>& outgoing, std::vector<int>* to_come) {
+        const MemberRecord& self = members[static_cast<std::size_t>(from)]->self();
+        for (const Outgoing& message : outgoing) {
             const int fate = to_come == nullptr || to_come->empty() ? 0 : to_come->back();
             if (to_come != nullptr && !to_come->empty()) to_come->pop_back();
             if (fate == 1) continue;
-            Flying one{now + delay_s, from, letter.to.back() - '0', self.life, letter.message};
+            Flying one{now + delay_s, from, message.to.back() - '0', self.incarnation, message.message};
             if (never_refutes && from == 2) {
-                one.life.incarnation = 1;
-                std::erase_if(one.message.words, [&](const Word& word) { return word.name == self.name; });
+                one.incarnation.number = 1;
+                std::erase_if(one.message.updates,
+                              [&](const MemberRecord& update) { return update.name == self.name; });
             }
             flying.push_back(one);
             one.at += 1.5 * delay_s;
@@ -81,9 +82,9 @@
         Membership& own = *members[static_cast<std::size_t>(agent)];
         for (const Event& event : own.take_events()) died += event.what == Event::What::Died ? 1 : 0;
         for (const auto& [name, member] : own.members()) {
-            Life& before = known[{agent, name}];
-            went_back = went_back || member.word.life < before;
-            before = member.word.life;
+            Incarnation& before = known[{agent, name}];
+            went_back = went_back || member.record.incarnation < before;
+            before = member.record.incarnation;
         }
     }
 
@@ -113,7 +114,8 @@
             for (const Flying& one : come) {
                 auto& to = members[static_cast<std::size_t>(one.to)];
                 if (!to) continue;
-                send(one.to, to->heard(name_at(one.from), address_at(one.from), one.life, one.message, now),
+                send(one.to,
+                     to->heard(name_at(one.from), address_at(one.from), one.incarnation, one.message, now),
                      to_come);
                 look(one.to);
             }
@@ -126,8 +128,8 @@
             for (const auto& other : members) {
                 if (!other || &other == &own) continue;
                 const auto it = own->members().find(other->self().name);
-                if (it == own->members().end() || it->second.word.health != Health::Alive ||
-                    it->second.word.life.token != other->self().life.token)
+                if (it == own->members().end() || it->second.record.health != Health::Alive ||
+                    it->second.record.incarnation.token != other->self().incarnation.token)
                     return false;
             }
         }
--- a/tests/fleet/membership_test.cpp
+++ b/tests/fleet/membership_test.cpp
@@ -51,7 +51,7 @@
     CHECK_GE(agreed_after(world, 15), 0);
     CHECK_EQ(world.logged("returned"), 11);
     // Without a disk its incarnation is above that of its earlier life.
-    CHECK_GT(world.peers(5)->membership().self().life.incarnation, 1);
+    CHECK_GT(world.peers(5)->membership().self().incarnation.number, 1);
     CHECK_EQ(world.false_deaths(), 0);
 }
 
@@ -165,7 +165,7 @@
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
         TalkWorld world(6, seed);
         REQUIRE_GE(agreed_after(world, 15), 0);
-        const int twin = world.start_twin(2);
+        const int twin = world.start_same_name(2);
         world.run_for(30);
         const bool first = world.peers(2)->membership().retired();
         const bool second = world.peers(twin)->membership().retired();
--- a/tests/fleet/seal_test.cpp
+++ b/tests/fleet/seal_test.cpp
@@ -15,7 +15,7 @@
 const std::string key_a(64, 'a'), key_b(64, 'b');
 
 Seal seal_of(const Name& name, std::uint64_t token, const std::string& key = key_a) {
-    return {Keys(key), name, "127.0.0.1:1", Life{1, token}};
+    return {Keys(key), name, "127.0.0.1:1", Incarnation{1, token}};
 }
 
 Message some_message(std::mt19937_64& random) {
@@ -24,19 +24,19 @@
     message.number = random();
     message.target = {
         "n" + std::to_string(random() % 300), "10.0.0.1:2910", {random(), random()}, Health::Alive};
-    for (std::size_t i = random() % (words_most + 1); i > 0; --i)
-        message.words.push_back({std::string(random() % name_most, 'x'),
-                                 "255.255.255.255:65535",
-                                 {random(), random()},
-                                 static_cast<Health>(random() % 4)});
-    if (message.kind != Kind::Hail && message.kind != Kind::Status) {
+    for (std::size_t i = random() % (updates_most + 1); i > 0; --i)
+        message.updates.push_back({std::string(random() % name_most, 'x'),
+                                   "255.255.255.255:65535",
+                                   {random(), random()},
+                                   static_cast<Health>(random() % 4)});
+    if (message.kind != Kind::StatusQuery && message.kind != Kind::StatusReply) {
         // A message has words or such numbers; a Join tells of its sender alone.
         auto& numbers = message.kind == Kind::Join ? message.digests : message.sessions;
-        if (message.words.size() > 1) return message;
+        if (message.updates.size() > 1) return message;
         for (std::size_t i = random() % (sessions_most + 1); i > 0; --i) numbers.push_back(random());
         return message;
     }
-    message.words.clear();
+    message.updates.clear();
     const auto ms = [&] { return static_cast<double>(random() % 1000000000) / 1000; };
     Status& status = message.status.emplace();
     status = {std::string(random() % (zone_most + 1), 'z'),
@@ -59,7 +59,7 @@
     const auto opened = to.open(bytes);
     CHECK_EQ(opened.fault, SealFault::None);
     CHECK_EQ(opened.from, "n1");
-    CHECK_EQ(opened.life, Life{1, 11});
+    CHECK_EQ(opened.incarnation, Incarnation{1, 11});
     CHECK_EQ(opened.body, "body");
     CHECK_EQ(to.open(bytes).fault, SealFault::Repeated);
 }
@@ -136,6 +136,6 @@
         CHECK_FALSE(decode(changed));
         changed = bytes;
         changed[random() % changed.size()] = static_cast<char>(random());
-        if (const auto read = decode(changed)) CHECK_LE(read->words.size(), words_most);
+        if (const auto read = decode(changed)) CHECK_LE(read->updates.size(), updates_most);
     }
 }
