--- a/lab/run/datagram_relay.h
+++ b/lab/run/datagram_relay.h
@@ -41,7 +41,7 @@
         is_cut_ = std::move(is_cut);
     }
     // Called with each datagram that comes from a sender that is not cut.
-    void observe(std::function<void(const jasperspread::net::Address& from, std::size_t bytes)> seen) {
+    void observe(std::function<void(const jasperspread::net::Address& from, std::string_view bytes)> seen) {
         seen_ = std::move(seen);
     }
 
@@ -49,7 +49,7 @@
     void pass(std::string_view bytes, const jasperspread::net::Address& from) {
         if (!cut_.empty() && cut_.contains(jasperspread::net::to_text(from))) return;
         if (is_cut_ && is_cut_(from)) return;
-        if (seen_) seen_(from, bytes.size());
+        if (seen_) seen_(from, bytes);
         const int copies = uniform() < lossy_.repeated ? 2 : 1;
         for (int copy = 0; copy < copies; ++copy) {
             if (uniform() < lossy_.lost) continue;
@@ -74,7 +74,7 @@
     Lossy lossy_;
     std::set<std::string> cut_;
     std::function<bool(const jasperspread::net::Address&)> is_cut_;
-    std::function<void(const jasperspread::net::Address&, std::size_t)> seen_;
+    std::function<void(const jasperspread::net::Address&, std::string_view)> seen_;
     std::set<jasperspread::net::Deadlines::Key> late_;
     jasperspread::net::Datagrams socket_;
 };
--- a/lab/scale/counting_kernel.cpp
+++ b/lab/scale/counting_kernel.cpp
@@ -4,13 +4,26 @@
 
 namespace lab {
 
+bool is_list(std::string_view datagram) {
+    return kind_of(datagram) == jasperspread::fleet::Kind::List;
+}
+
+void CountingKernel::FromReal::add(std::string_view datagram) {
+    ++messages;
+    bytes += datagram.size();
+    if (!is_list(datagram)) return;
+    ++lists;
+    list_bytes += datagram.size();
+}
+
 Traffic CountingKernel::traffic() const {
-    return {messages_sent_, messages_received_, bytes_sent_, bytes_received_, stream_bytes_, list_bytes_};
+    return {messages_sent_, messages_received_, bytes_sent_,      bytes_received_,     stream_bytes_,
+            lists_sent_,    lists_received_,    list_bytes_sent_, list_bytes_received_};
 }
 
 CountingKernel::FromReal CountingKernel::from_real(int agent) const {
     const auto at = static_cast<std::size_t>(agent);
-    return {real_messages_[at], real_bytes_[at]};
+    return {real_messages_[at], real_bytes_[at], real_lists_[at], real_list_bytes_[at]};
 }
 
 bool CountingKernel::is_blocked(const Address& from) const {
@@ -18,17 +31,27 @@
     return zone >= 0 && (blocked_ >> zone & 1U) != 0;
 }
 
-void CountingKernel::count_list(const char* bytes, std::uint64_t count) {
-    if (kind_of({bytes, count}) == jasperspread::fleet::Kind::List) list_bytes_ += count;
+void CountingKernel::count_sent(std::string_view datagram) {
+    ++messages_sent_;
+    bytes_sent_ += datagram.size();
+    if (!is_list(datagram)) return;
+    ++lists_sent_;
+    list_bytes_sent_ += datagram.size();
 }
 
-void CountingKernel::count_received(const Address& from, std::uint64_t bytes) {
+void CountingKernel::count_received(const Address& from, std::string_view datagram) {
+    const bool list = is_list(datagram);
     ++messages_received_;
-    bytes_received_ += bytes;
+    bytes_received_ += datagram.size();
+    lists_received_ += list ? 1 : 0;
+    list_bytes_received_ += list ? datagram.size() : 0;
     const int real = real_agent_of(from);
     if (real < 0) return;
-    ++real_messages_[static_cast<std::size_t>(real)];
-    real_bytes_[static_cast<std::size_t>(real)] += bytes;
+    const auto at = static_cast<std::size_t>(real);
+    ++real_messages_[at];
+    real_bytes_[at] += datagram.size();
+    real_lists_[at] += list ? 1 : 0;
+    real_list_bytes_[at] += list ? datagram.size() : 0;
 }
 
 int CountingKernel::poll(pollfd* polled, std::size_t count, double wait_s) {
@@ -56,16 +79,13 @@
         const ssize_t got = system_.receive_from(fd, bytes, room, from);
         if (got < 0) return got;
         if (is_blocked(from)) continue;
-        count_list(bytes, static_cast<std::uint64_t>(got));
-        count_received(from, static_cast<std::uint64_t>(got));
+        count_received(from, {bytes, static_cast<std::size_t>(got)});
         return got;
     }
 }
 
 ssize_t CountingKernel::send_to(int fd, const char* bytes, std::size_t count, const Address& to) {
-    ++messages_sent_;
-    bytes_sent_ += count;
-    count_list(bytes, count);
+    count_sent({bytes, count});
     return system_.send_to(fd, bytes, count, to);
 }
 
--- a/lab/scale/counting_kernel.h
+++ b/lab/scale/counting_kernel.h
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <string_view>
 
 #include "lab/scale/placement.h"
 #include "net/kernel.h"
@@ -16,11 +17,16 @@
     std::uint64_t messages_sent = 0, messages_received = 0;  // datagrams
     std::uint64_t bytes_sent = 0, bytes_received = 0;        // in them
     std::uint64_t stream_bytes = 0;                          // both ways, of the control feed's connection
-    std::uint64_t list_bytes = 0;                            // both ways, of datagrams with whole lists
+    // Of these, messages of the kind List: whole lists, 42 kB each with 450 members, and answers to doubts.
+    std::uint64_t lists_sent = 0, lists_received = 0, list_bytes_sent = 0, list_bytes_received = 0;
+    std::uint64_t list_bytes() const { return list_bytes_sent + list_bytes_received; }
     std::uint64_t messages() const { return messages_sent + messages_received; }
     std::uint64_t bytes() const { return bytes_sent + bytes_received + stream_bytes; }
 };
 
+// Whether a datagram holds a message of the kind List.
+bool is_list(std::string_view datagram);
+
 class CountingKernel final : public jasperspread::net::Kernel {
 public:
     using Address = jasperspread::net::Address;
@@ -28,7 +34,8 @@
 
     Traffic traffic() const;
     struct FromReal {
-        std::uint64_t messages = 0, bytes = 0;
+        std::uint64_t messages = 0, bytes = 0, lists = 0, list_bytes = 0;
+        void add(std::string_view datagram);
     };
     // What has come from this real process.
     FromReal from_real(int agent) const;
@@ -61,15 +68,15 @@
 private:
     using Counter = std::atomic<std::uint64_t>;
     bool is_blocked(const Address& from) const;
-    void count_list(const char* bytes, std::uint64_t count);
-    void count_received(const Address& from, std::uint64_t bytes);
+    void count_sent(std::string_view datagram);
+    void count_received(const Address& from, std::string_view datagram);
 
     jasperspread::net::SystemKernel system_;
     std::function<void()> before_wait_, after_wait_;
     std::atomic<Zones> blocked_{0};
     Counter messages_sent_{0}, messages_received_{0}, bytes_sent_{0}, bytes_received_{0}, stream_bytes_{0},
-        list_bytes_{0};
-    std::array<Counter, real_agents_most> real_messages_{}, real_bytes_{};
+        lists_sent_{0}, lists_received_{0}, list_bytes_sent_{0}, list_bytes_received_{0};
+    std::array<Counter, real_agents_most> real_messages_{}, real_bytes_{}, real_lists_{}, real_list_bytes_{};
 };
 
 }  // namespace lab
--- a/lab/scale/hollow_host.cpp
+++ b/lab/scale/hollow_host.cpp
@@ -81,6 +81,8 @@
             auto& sum = report.from_reals[static_cast<std::size_t>(real)];
             sum.messages += from.messages;
             sum.bytes += from.bytes;
+            sum.lists += from.lists;
+            sum.list_bytes += from.list_bytes;
         }
     }
     for (const auto& [number, one] : agents_) {
--- a/lab/scale/host_protocol.cpp
+++ b/lab/scale/host_protocol.cpp
@@ -11,7 +11,8 @@
 json written(const AgentSample& sample) {
     const Traffic& traffic = sample.traffic;
     return json::array({sample.agent, sample.cpu_s, traffic.messages_sent, traffic.messages_received,
-                        traffic.bytes_sent, traffic.bytes_received, traffic.stream_bytes, traffic.list_bytes,
+                        traffic.bytes_sent, traffic.bytes_received, traffic.stream_bytes, traffic.lists_sent,
+                        traffic.lists_received, traffic.list_bytes_sent, traffic.list_bytes_received,
                         sample.present});
 }
 
@@ -19,10 +20,11 @@
     AgentSample sample;
     sample.agent = from.at(0).get<int>();
     sample.cpu_s = from.at(1).get<double>();
-    sample.traffic = {from.at(2).get<std::uint64_t>(), from.at(3).get<std::uint64_t>(),
-                      from.at(4).get<std::uint64_t>(), from.at(5).get<std::uint64_t>(),
-                      from.at(6).get<std::uint64_t>(), from.at(7).get<std::uint64_t>()};
-    sample.present = from.at(8).get<std::uint64_t>();
+    sample.traffic = {
+        from.at(2).get<std::uint64_t>(), from.at(3).get<std::uint64_t>(), from.at(4).get<std::uint64_t>(),
+        from.at(5).get<std::uint64_t>(), from.at(6).get<std::uint64_t>(), from.at(7).get<std::uint64_t>(),
+        from.at(8).get<std::uint64_t>(), from.at(9).get<std::uint64_t>(), from.at(10).get<std::uint64_t>()};
+    sample.present = from.at(11).get<std::uint64_t>();
     return sample;
 }
 
@@ -65,7 +67,8 @@
     json samples = json::array(), events = json::array(), from_reals = json::array();
     for (const AgentSample& sample : report.samples) samples.push_back(written(sample));
     for (const AgentEvent& event : report.events) events.push_back(written(event));
-    for (const auto& from : report.from_reals) from_reals.push_back({from.messages, from.bytes});
+    for (const auto& from : report.from_reals)
+        from_reals.push_back({from.messages, from.bytes, from.lists, from.list_bytes});
     return json{{"host", report.host},
                 {"at", report.at},
                 {"samples", samples},
@@ -92,7 +95,8 @@
     for (const json& one : whole.at("samples")) report.samples.push_back(read_sample(one));
     for (const json& one : whole.at("events")) report.events.push_back(read_event(one));
     for (const json& one : whole.at("from_reals"))
-        report.from_reals.push_back({one.at(0).get<std::uint64_t>(), one.at(1).get<std::uint64_t>()});
+        report.from_reals.push_back({one.at(0).get<std::uint64_t>(), one.at(1).get<std::uint64_t>(),
+                                     one.at(2).get<std::uint64_t>(), one.at(3).get<std::uint64_t>()});
     return report;
 }
 
--- a/lab/scale/likeness.cpp
+++ b/lab/scale/likeness.cpp
@@ -6,43 +6,41 @@
 namespace lab {
 namespace {
 
+struct Flow {  // of messages, or of bytes
+    double sent = 0, received = 0;
+};
+
 struct Used {
-    double sent = 0, received = 0, sent_bytes = 0, received_bytes = 0, stream_bytes = 0;
+    Flow messages, bytes, lists, list_bytes;
+    double stream_bytes = 0;
 };
 
+double less(std::uint64_t now, std::uint64_t before) {
+    return static_cast<double>(now - before);
+}
+
 Used used_by(ScaleWorld& world, const ScaleOutcome& outcome, int agent) {
     const auto at = static_cast<std::size_t>(agent);
     const Traffic now = world.sample(agent).traffic, before = outcome.at_baseline[at].traffic;
-    Used used{static_cast<double>(now.messages_sent - before.messages_sent),
-              static_cast<double>(now.messages_received - before.messages_received),
-              static_cast<double>(now.bytes_sent - before.bytes_sent),
-              static_cast<double>(now.bytes_received - before.bytes_received),
-              static_cast<double>(now.stream_bytes - before.stream_bytes)};
+    Used used;
+    used.messages = {less(now.messages_sent, before.messages_sent),
+                     less(now.messages_received, before.messages_received)};
+    used.bytes = {less(now.bytes_sent, before.bytes_sent), less(now.bytes_received, before.bytes_received)};
+    used.lists = {less(now.lists_sent, before.lists_sent), less(now.lists_received, before.lists_received)};
+    used.list_bytes = {less(now.list_bytes_sent, before.list_bytes_sent),
+                       less(now.list_bytes_received, before.list_bytes_received)};
+    used.stream_bytes = less(now.stream_bytes, before.stream_bytes);
     if (!world.plan().is_real(agent)) return used;
     const auto sent = world.sent_by_real(agent), sent_before = outcome.sent_at_baseline[at];
-    used.sent = static_cast<double>(sent.messages - sent_before.messages);
-    used.sent_bytes = static_cast<double>(sent.bytes - sent_before.bytes);
+    used.messages.sent = less(sent.messages, sent_before.messages);
+    used.bytes.sent = less(sent.bytes, sent_before.bytes);
+    used.lists.sent = less(sent.lists, sent_before.lists);
+    used.list_bytes.sent = less(sent.list_bytes, sent_before.list_bytes);
     return used;
 }
 
-// Of what hollow agents sent, the part that somebody received: the rest went to the dead, or over a cut link.
-struct Delivered {
-    double messages = 1, bytes = 1;
-};
-
-Delivered delivered(const ScaleWorld& world, const std::vector<Used>& all) {
-    Used sum;
-    double hollow_sent = 0, hollow_bytes = 0;
-    for (int agent = 0; agent < world.plan().agents(); ++agent) {
-        const Used& used = all[static_cast<std::size_t>(agent)];
-        const bool real = world.plan().is_real(agent);
-        sum.received += used.received - (real ? used.sent : 0);
-        sum.received_bytes += used.received_bytes - (real ? used.sent_bytes : 0);
-        hollow_sent += real ? 0 : used.sent;
-        hollow_bytes += real ? 0 : used.sent_bytes;
-    }
-    if (hollow_sent <= 0 || hollow_bytes <= 0) return {};
-    return {sum.received / hollow_sent, sum.received_bytes / hollow_bytes};
+Flow without(const Flow& all, const Flow& part) {
+    return {all.sent - part.sent, all.received - part.received};
 }
 
 struct Spread {
@@ -59,37 +57,81 @@
     }
 };
 
-double error_of(const Spread& hollow, const Spread& real) {
-    if (hollow.count == 0 || real.count == 0 || hollow.mean() <= 0) return 0;
-    const double parts = 1.0 / hollow.count + 1.0 / real.count;
-    return hollow.deviation() * std::sqrt(parts) / hollow.mean();
-}
+class Comparison {
+public:
+    Comparison(ScaleWorld& world, const ScaleOutcome& outcome) : plan_(world.plan()) {
+        const std::vector<int> seeds = plan_.seeds();
+        for (int agent = 0; agent < plan_.agents(); ++agent) {
+            used_.push_back(used_by(world, outcome, agent));
+            // All others ask the seeds: they are no measure.
+            const bool seed = std::find(seeds.begin(), seeds.end(), agent) != seeds.end();
+            counts_.push_back(!seed && !world.was_killed(agent));
+        }
+    }
+
+    // `flow` gives what is compared, `more` what comes to it and arrives for certain.
+    template <typename FlowOf, typename More>
+    Ratio ratio(const FlowOf& flow, const More& more) const {
+        const double part = delivered(flow);
+        Spread real, hollow;
+        for (std::size_t agent = 0; agent < used_.size(); ++agent) {
+            if (!counts_[agent]) continue;
+            const Flow own = flow(used_[agent]);
+            const bool is_real = plan_.is_real(static_cast<int>(agent));
+            const double arrived = own.sent * (is_real ? 1 : part);
+            (is_real ? real : hollow).add(own.received + arrived + more(used_[agent]));
+        }
+        if (real.count == 0 || hollow.count == 0 || real.mean() <= 0 || hollow.mean() <= 0) return {};
+        const double parts = 1.0 / hollow.count + 1.0 / real.count;
+        return {hollow.mean() / real.mean(), hollow.deviation() * std::sqrt(parts) / hollow.mean()};
+    }
+    int compared(bool real) const {
+        int count = 0;
+        for (std::size_t agent = 0; agent < counts_.size(); ++agent)
+            count += counts_[agent] && plan_.is_real(static_cast<int>(agent)) == real ? 1 : 0;
+        return count;
+    }
+
+private:
+    // Of what hollow agents sent, the part that somebody received: the rest went to the dead, over a cut
+    // link, or to a socket that was full.
+    template <typename FlowOf>
+    double delivered(const FlowOf& flow) const {
+        double received = 0, sent = 0;
+        for (std::size_t agent = 0; agent < used_.size(); ++agent) {
+            const Flow own = flow(used_[agent]);
+            const bool is_real = plan_.is_real(static_cast<int>(agent));
+            received += own.received - (is_real ? own.sent : 0);
+            sent += is_real ? 0 : own.sent;
+        }
+        return sent > 0 ? received / sent : 1;
+    }
+
+    const ScalePlan& plan_;
+    std::vector<Used> used_;
+    std::vector<bool> counts_;  // lived through it all, and is no seed
+};
 
 }  // namespace
 
 Likeness compare(ScaleWorld& world, const ScaleOutcome& outcome) {
-    const ScalePlan& plan = world.plan();
-    const std::vector<int> seeds = plan.seeds();
-    std::vector<Used> all;
-    for (int agent = 0; agent < plan.agents(); ++agent) all.push_back(used_by(world, outcome, agent));
-    const Delivered part = delivered(world, all);
-    Spread messages[2], bytes[2];
-    for (int agent = 0; agent < plan.agents(); ++agent) {
-        // All others ask the seeds: they are no measure.
-        const bool seed = std::find(seeds.begin(), seeds.end(), agent) != seeds.end();
-        if (seed || world.was_killed(agent)) continue;
-        const Used& used = all[static_cast<std::size_t>(agent)];
-        const bool real = plan.is_real(agent);
-        messages[real].add(used.received + used.sent * (real ? 1 : part.messages));
-        bytes[real].add(used.received_bytes + used.stream_bytes + used.sent_bytes * (real ? 1 : part.bytes));
-    }
+    const Comparison comparison(world, outcome);
+    const auto nothing = [](const Used&) { return 0.0; };
+    const auto feed = [](const Used& used) { return used.stream_bytes; };
     Likeness found;
-    found.real = messages[true].count;
-    found.hollow = messages[false].count;
-    found.messages = messages[false].mean() / std::max(1.0, messages[true].mean());
-    found.bytes = bytes[false].mean() / std::max(1.0, bytes[true].mean());
-    found.messages_error = error_of(messages[false], messages[true]);
-    found.bytes_error = error_of(bytes[false], bytes[true]);
+    found.messages = comparison.ratio([](const Used& used) { return used.messages; }, nothing);
+    found.bytes = comparison.ratio([](const Used& used) { return used.bytes; }, feed);
+    found.messages_without_lists =
+        comparison.ratio([](const Used& used) { return without(used.messages, used.lists); }, nothing);
+    found.bytes_without_lists =
+        comparison.ratio([](const Used& used) { return without(used.bytes, used.list_bytes); }, feed);
+    found.received = comparison.ratio(
+        [](const Used& used) {
+            return Flow{0, used.messages.received};
+        },
+        nothing);
+    found.real = comparison.compared(true);
+    found.hollow = comparison.compared(false);
     return found;
 }
 
--- a/lab/scale/likeness.h
+++ b/lab/scale/likeness.h
@@ -5,10 +5,18 @@
 
 namespace lab {
 
+// Of a hollow agent over that of a real one, on average; and the standard error of that, by how far hollow
+// agents differ among each other.
+struct Ratio {
+    double value = 0, error = 0;
+};
+
 struct Likeness {
-    double messages = 0, bytes = 0;  // of a hollow agent over those of a real one, on average
-    // Standard errors of these, by how far hollow agents differ among each other.
-    double messages_error = 0, bytes_error = 0;
+    Ratio messages, bytes;
+    // Without messages of the kind List: whole lists are few and large, and chance has much say in who sends
+    // one.
+    Ratio messages_without_lists, bytes_without_lists;
+    Ratio received;            // messages, without those sent
     int real = 0, hollow = 0;  // compared
 };
 
--- a/lab/scale/real_agent.cpp
+++ b/lab/scale/real_agent.cpp
@@ -19,12 +19,16 @@
     return feed_.listen(own_loopback_address());
 }
 
-void RealAgent::observe(std::function<void(const jasperspread::net::Address&, std::size_t)> seen) {
+void RealAgent::observe(
+    std::function<void(const jasperspread::net::Address& from, std::string_view datagram)> seen) {
     datagrams_.observe(
-        [this, seen = std::move(seen)](const jasperspread::net::Address& from, std::size_t bytes) {
+        [this, seen = std::move(seen)](const jasperspread::net::Address& from, std::string_view datagram) {
+            const bool list = is_list(datagram);
             ++received_.messages_received;
-            received_.bytes_received += bytes;
-            seen(from, bytes);
+            received_.bytes_received += datagram.size();
+            received_.lists_received += list ? 1 : 0;
+            received_.list_bytes_received += list ? datagram.size() : 0;
+            seen(from, datagram);
         });
 }
 
--- a/lab/scale/real_agent.h
+++ b/lab/scale/real_agent.h
@@ -29,7 +29,7 @@
         datagrams_.cut_where(std::move(is_cut));
     }
     // Called with each datagram that it receives, while the relays' loop is held.
-    void observe(std::function<void(const jasperspread::net::Address& from, std::size_t bytes)> seen);
+    void observe(std::function<void(const jasperspread::net::Address& from, std::string_view datagram)> seen);
 
     void start(double machine_s);
     void kill();
--- a/lab/scale/scale_seen.cpp
+++ b/lab/scale/scale_seen.cpp
@@ -46,7 +46,7 @@
     own.sample = sample;
     UsageSample used{now(), sample.cpu_s, static_cast<double>(sample.traffic.messages()),
                      static_cast<double>(sample.traffic.bytes()),
-                     static_cast<double>(sample.traffic.list_bytes)};
+                     static_cast<double>(sample.traffic.list_bytes())};
     if (own.real) {
         const auto sent = sent_by_real(sample.agent);
         used.messages += static_cast<double>(sent.messages);
@@ -61,6 +61,8 @@
     for (const auto& some : from_reals_) {
         sum.messages += some[index(agent)].messages;
         sum.bytes += some[index(agent)].bytes;
+        sum.lists += some[index(agent)].lists;
+        sum.list_bytes += some[index(agent)].list_bytes;
     }
     return sum;
 }
--- a/lab/scale/scale_world.cpp
+++ b/lab/scale/scale_world.cpp
@@ -85,12 +85,9 @@
             return cut_ && sender_zone >= 0 &&
                    plan_.placement.region_of_zone(sender_zone) != plan_.placement.region_of(agent);
         });
-        own.real->observe([this](const jasperspread::net::Address& from, std::size_t bytes) {
+        own.real->observe([this](const jasperspread::net::Address& from, std::string_view datagram) {
             const int sender = real_agent_of(from);
-            if (sender < 0) return;
-            auto& sum = from_reals_.back()[index(sender)];
-            ++sum.messages;
-            sum.bytes += bytes;
+            if (sender >= 0) from_reals_.back()[index(sender)].add(datagram);
         });
     }
     const auto listen = *jasperspread::net::parse_address(address_of(plan_.placement, agent, real));
--- a/tests/lab/scale_test.cpp
+++ b/tests/lab/scale_test.cpp
@@ -192,12 +192,12 @@
     CHECK_EQ(std::get<BlockZones>(decode_command(encode(Command(BlockZones{3, 5})))).senders, 5);
     Report report;
     report.host = 2;
-    report.samples.push_back({4, 0.5, {1, 2, 3, 4, 5, 6}, 450});
+    report.samples.push_back({4, 0.5, {1, 2, 3, 4, 5, 6, 7, 8, 9}, 450});
     report.events.push_back({AgentEvent::What::Died, 4, 1.5, 0, "n9", 0xFFFFFFFFFFFFFFFFU});
     const Report read = decode_report(encode(report));
     CHECK_EQ(read.host, 2);
     CHECK_EQ(read.samples.at(0).traffic.stream_bytes, 5);
-    CHECK_EQ(read.samples.at(0).traffic.list_bytes, 6);
+    CHECK_EQ(read.samples.at(0).traffic.list_bytes_received, 9);
     CHECK_EQ(read.samples.at(0).present, 450);
     CHECK_EQ(read.events.at(0).token, 0xFFFFFFFFFFFFFFFFU);
     CHECK_EQ(read.events.at(0).name, "n9");
