--- a/lab/capacity/failures.h
+++ b/lab/capacity/failures.h
@@ -25,14 +25,14 @@
 
 // Sessions count as placed without regard to zones: the worst case.
 struct Burden {
-    double ended = 0;                   // sessions that end
-    double takers = 0;                  // agents that are left
-    double set_ups_each = 0;            // that come again to each of them, at most
-    double peak_per_s = 0;              // of these
-    double ordinary_per_s = 0;          // beside them
-    std::optional<double> borne_per_s;  // by a core at that many connections; nullopt: not measured
-    std::optional<double>
-        back_after_s;  // infinite: ordinary set-ups alone are too many; nullopt: not measured
+    double ended = 0;                     // sessions that end
+    double takers = 0;                    // agents that are left
+    double set_ups_each = 0;              // that come again to each of them, at most
+    double peak_per_s = 0;                // of these
+    double ordinary_per_s = 0;            // beside them
+    std::optional<Estimate> borne_per_s;  // by a core at that many connections; nullopt: not measured
+    // Infinite where ordinary set-ups alone are too many; nullopt: not measured.
+    std::optional<Estimate> back_after_s;
 };
 
 Burden burden_of(const Scene& scene, const Sizes& sizes, const Evidence& evidence);
--- a/lab/capacity/fit.cpp
+++ b/lab/capacity/fit.cpp
@@ -48,7 +48,13 @@
 
 Evidence::Evidence(const nlohmann::json& slopes, const nlohmann::json& scale) {
     if (!slopes.is_null()) slopes.at("slopes").get_to(fits_);
-    if (!scale.is_null()) scale.at("figures").get_to(figures_);
+    if (scale.is_null()) return;
+    for (const auto& run : scale.at("runs")) {
+        for (const auto& [name, value] : run.at("figures").items()) {
+            const auto it = figures_.try_emplace(name, value).first;
+            it->second = std::max(it->second, value.get<double>());
+        }
+    }
 }
 
 const Fit* Evidence::find(const std::string& name) const {
--- a/lab/capacity/fit.h
+++ b/lab/capacity/fit.h
@@ -33,10 +33,11 @@
 
 class Evidence {
 public:
-    // Takes the JSON of `scripts/lab slopes` and `scripts/lab scale`; null where there is no run yet.
+    // Takes the JSON of `scripts/lab slopes`, and those of `scripts/lab scale` as `runs`; null where there is
+    // none yet.
     Evidence(const nlohmann::json& slopes, const nlohmann::json& scale);
     const Fit* find(const std::string& name) const;
-    std::optional<double> figure(const std::string& name) const;
+    std::optional<double> figure(const std::string& name) const;  // the largest of all runs
 
 private:
     std::vector<Fit> fits_;
--- a/lab/capacity/page.cpp
+++ b/lab/capacity/page.cpp
@@ -118,23 +118,28 @@
     return text.empty() ? "derived only" : text;
 }
 
-std::string back_cell(const Burden& burden) {
-    if (!burden.back_after_s) return not_measured;
-    return std::isinf(*burden.back_after_s) ? "never: ordinary set-ups alone are too many"
-                                            : shown(*burden.back_after_s);
+std::string shown_or(const std::string& infinite, double value) {
+    return std::isinf(value) ? infinite : shown(value);
+}
+
+std::string interval_cell(const std::optional<Estimate>& estimate, const std::string& infinite) {
+    if (!estimate) return not_measured;
+    return shown_or(infinite, estimate->value) + " (" + shown_or(infinite, estimate->low) + " to " +
+           shown_or(infinite, estimate->high) + ")";
 }
 
 std::string failures_table(const std::vector<Scene>& scenes, const Sizes& sizes, const Evidence& evidence) {
     std::string text =
         head({"failure", "sessions that end", "arrive at agents", "set-ups at each, most",
-              "a s at each, most (and ordinary ones)", "a core bears a s", "service back after s",
+              "a s at each, most (and ordinary ones)", "a core bears a s (95%)", "service back after s (95%)",
               "refused, and how spread", "control traffic at its peak", "played by the scale run"});
     for (const Scene& scene : scenes) {
         const Burden burden = burden_of(scene, sizes, evidence);
-        text += line({scene.what, shown(burden.ended), shown(burden.takers), shown(burden.set_ups_each),
-                      shown(burden.peak_per_s) + " (" + shown(burden.ordinary_per_s) + ")",
-                      burden.borne_per_s ? shown(*burden.borne_per_s) : not_measured, back_cell(burden),
-                      scene.refused, scene.control, played_cell(scene, evidence)});
+        text +=
+            line({scene.what, shown(burden.ended), shown(burden.takers), shown(burden.set_ups_each),
+                  shown(burden.peak_per_s) + " (" + shown(burden.ordinary_per_s) + ")",
+                  interval_cell(burden.borne_per_s, "unbounded"), interval_cell(burden.back_after_s, "never"),
+                  scene.refused, scene.control, played_cell(scene, evidence)});
     }
     return text;
 }
--- a/tests/lab/capacity_test.cpp
+++ b/tests/lab/capacity_test.cpp
@@ -36,6 +36,11 @@
     return {{"slopes", lines}};
 }
 
+json sample_scale() {
+    const json worst = {{"figures", {{"half_s", 2.25}}}}, better = {{"figures", {{"half_s", 2.0}}}};
+    return {{"runs", {worst, better}}};
+}
+
 json sample_plan() {
     return {{"sizes",
              {{{"name", "agents"}, {"value", 10}, {"from", "letter"}},
@@ -79,8 +84,7 @@
 }
 
 Inputs sample_inputs() {
-    return {sample_plan(),   sample_rows(), sample_scenes(),
-            sample_slopes(), nullptr,       {{"figures", {{"half_s", 2.25}}}}};
+    return {sample_plan(), sample_rows(), sample_scenes(), sample_slopes(), nullptr, sample_scale()};
 }
 
 }  // namespace
@@ -107,7 +111,7 @@
 }
 
 TEST_CASE("a line's interval is narrowest in the middle and widens beyond what was measured") {
-    const Evidence evidence(sample_slopes(), {{"figures", {{"half_s", 2.25}}}});
+    const Evidence evidence(sample_slopes(), sample_scale());
     const Fit* fit = evidence.find("close_cpu_us");
     REQUIRE(fit != nullptr);
     const Estimate middle = estimate_by_line(*fit, 300), far = estimate_by_line(*fit, 10000);
@@ -126,7 +130,7 @@
 
 TEST_CASE("a row is its line at a size, so many times, against its bound") {
     const Sizes sizes(sample_plan());
-    const Evidence evidence(sample_slopes(), {{"figures", {{"half_s", 2.25}}}});
+    const Evidence evidence(sample_slopes(), sample_scale());
     Row row;
     row.fit = "close_cpu_us", row.at = "connections_each", row.times = "agents", row.bound = "core_us";
     CHECK(evaluate(row, sizes, evidence).estimate->value == doctest::Approx(500));
@@ -147,7 +151,7 @@
 
 TEST_CASE("a failure's viewers come again to those who are left") {
     const Sizes sizes(sample_plan());
-    const Evidence evidence(sample_slopes(), {{"figures", {{"half_s", 2.25}}}});
+    const Evidence evidence(sample_slopes(), sample_scale());
     Scene scene;
     scene.agents_lost = 5;
     const Burden half = burden_of(scene, sizes, evidence);
@@ -156,12 +160,14 @@
     CHECK(half.peak_per_s == doctest::Approx(4500));
     CHECK(half.ordinary_per_s == doctest::Approx(400));
     // Each of the four costs 25 + 0.0025 x 20,000 = 75 us.
-    CHECK(*half.borne_per_s == doctest::Approx(1e6 / 300));
-    CHECK(*half.back_after_s == doctest::Approx(3 + 2.5 + 9000 / (1e6 / 300 - 400) - 2));
+    CHECK(half.borne_per_s->value == doctest::Approx(1e6 / 300));
+    CHECK(half.borne_per_s->low < half.borne_per_s->value);
+    CHECK(half.back_after_s->high > half.back_after_s->value);
+    CHECK(half.back_after_s->value == doctest::Approx(3 + 2.5 + 9000 / (1e6 / 300 - 400) - 2));
     scene.servers_lost = 0.5;
     CHECK(burden_of(scene, sizes, evidence).ended == 75000);
     scene.agents_lost = 9;
-    CHECK(std::isinf(*burden_of(scene, sizes, evidence).back_after_s));
+    CHECK(std::isinf(burden_of(scene, sizes, evidence).back_after_s->value));
     CHECK_FALSE(burden_of(scene, sizes, Evidence(nullptr, nullptr)).borne_per_s.has_value());
 }
 
