--- a/include/cinderfront/controller.h
+++ b/include/cinderfront/controller.h
@@ -131,27 +131,29 @@
 struct Seek {
     std::uint64_t id = 0;
 };
-struct Rehomed {  // it went there
+struct HandoverCompleted {  // it went there
     std::uint64_t id = 0;
     std::uint32_t server = 0;
     int rung = 0;
 };
+using Rehomed = HandoverCompleted;  // its former name
 // What may be let in from here on, as while service comes back after a power loss. Until one is told, all is.
 struct Allowance {
     std::vector<double> per_s;  // set-ups a second that this front may begin, by class; none: as they come
     double stay_away = 0;       // s: who is turned away meanwhile comes back after so long, up to twice that
 };
 // Proof that a server has run since then, as of a session that has played there all the time.
-struct Runs {
+struct ServerRunning {
     std::uint32_t server = 0;
     double since = 0;
 };
+using Runs = ServerRunning;  // its former name
 struct PeerMessage {
     std::uint32_t from = 0;
     std::string bytes;
 };
 using Event = std::variant<ServerList, NewRequest, TakenOver, Started, Note, Outcome, Abandoned, TimerFired,
-                           ProbeResult, Seek, Rehomed, PeerMessage, Allowance, Runs>;
+                           ProbeResult, Seek, HandoverCompleted, PeerMessage, Allowance, ServerRunning>;
 
 // Actions.
 struct Send {
--- a/lab/broken/broken.cpp
+++ b/lab/broken/broken.cpp
@@ -127,9 +127,10 @@
     servers_->set_up(attempt);
 }
 
-GivenUp Broken::give_up(SessionId id) {
-    const GivenUp was = servers_->give_up(id);
-    if (fault_ != Fault::PaidAgainTimeout || was != GivenUp::Sent || !paid(out_[id].attempt.class_name))
+AttemptProgress Broken::give_up(SessionId id) {
+    const AttemptProgress was = servers_->give_up(id);
+    if (fault_ != Fault::PaidAgainTimeout || was != AttemptProgress::Sent ||
+        !paid(out_[id].attempt.class_name))
         return was;
     Attempt again = out_[id].attempt;
     again.server = another(again.server).value_or(again.server);
--- a/lab/broken/broken.h
+++ b/lab/broken/broken.h
@@ -67,14 +67,18 @@
     void moved(SessionId id) override { viewers_->moved(id); }
 
     void set_up(const Attempt& attempt) override;
-    jasperspread::agent::GivenUp give_up(SessionId id) override;
+    jasperspread::agent::AttemptProgress give_up(SessionId id) override;
     void set_rung(SessionId id, int rung) override { servers_->set_rung(id, rung); }
     void end_session(SessionId id) override;
     void adopt(SessionId id, ServerNumber server) override { servers_->adopt(id, server); }
     void forget(SessionId id) override { servers_->forget(id); }
     bool hands_over(ServerNumber server) const override { return servers_->hands_over(server); }
-    void hand_over(const jasperspread::agent::HandoverWord& word) override { servers_->hand_over(word); }
-    void rehome(SessionId id, ServerNumber server, int rung) override { servers_->rehome(id, server, rung); }
+    void hand_over(const jasperspread::agent::HandoverMessage& message) override {
+        servers_->hand_over(message);
+    }
+    void reassign(SessionId id, ServerNumber server, int rung) override {
+        servers_->reassign(id, server, rung);
+    }
     void set_epoch(SessionId id, std::uint64_t epoch) override { servers_->set_epoch(id, epoch); }
     void end_at(SessionId id, ServerNumber server, std::uint64_t epoch) override {
         servers_->end_at(id, server, epoch);
--- a/lab/run/handover_fleet.cpp
+++ b/lab/run/handover_fleet.cpp
@@ -47,8 +47,8 @@
         over += most > 1 ? 1 : 0;
     }
     for (int agent = 0; agent < plan.agents; ++agent) {
-        const auto* mover = world.agent(agent)->sessions().mover();
-        if (mover != nullptr) run.begun += static_cast<double>(mover->counts().begun);
+        const auto* handovers = world.agent(agent)->sessions().handovers();
+        if (handovers != nullptr) run.begun += static_cast<double>(handovers->counts().begun);
     }
     world.finish();
     const auto& sums = world.ledger().sums();
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -46,7 +46,7 @@
 }
 
 ServerPort& Agent::servers_side() {
-    if (keeper_) return *keeper_;
+    if (journal_) return *journal_;
     return servers_;
 }
 
@@ -56,23 +56,23 @@
       between_(between != nullptr ? *between : nothing_between_),
       config_(begun(loop, between_, std::move(config))),
       sessions_(loop, log, config_.profile.settings, config_.seed, config_.directory),
-      keeper_(memory == nullptr
-                  ? nullptr
-                  : std::make_unique<Keeper>(loop, log, *memory, config_.profile, config_.directory,
-                                             between_.from_servers(sessions_))),
+      journal_(memory == nullptr
+                   ? nullptr
+                   : std::make_unique<SessionJournal>(loop, log, *memory, config_.profile, config_.directory,
+                                                      between_.from_servers(sessions_))),
       servers_(loop, pool_, log,
-               keeper_ ? static_cast<ServerEvents&>(*keeper_) : between_.from_servers(sessions_),
+               journal_ ? static_cast<ServerEvents&>(*journal_) : between_.from_servers(sessions_),
                config_.directory, link_limits()),
       viewers_(loop, pool_, log, between_.from_viewers(sessions_), config_.profile, config_.listen,
                {viewers_most(config_), closing_most(config_)}),
       feed_(loop, pool_, log, {config_.feed, config_.known_number, config_.directory.revision()},
             config_.profile, [this](const ListChange& change) { listed(change); }),
       wake_(loop) {
-    if (keeper_) keeper_->connect(servers_);
+    if (journal_) journal_->connect(servers_);
     sessions_.connect(between_.to_viewers(viewers_), between_.to_servers(servers_side()));
     if (memory != nullptr) between_.remembers(memory->found);
     sessions_.listed(config_.directory.restored());
-    if (keeper_) keeper_->listed();
+    if (journal_) journal_->listed();
     double deadline = 0;
     for (const auto& cls : config_.profile.settings.classes) deadline = std::max(deadline, cls.deadline);
     stay_most_ = std::max(stay_least, std::min(deadline, longest_counted) + stay_over_deadline);
@@ -85,7 +85,7 @@
     const auto list = config_.directory.apply(change);
     sessions_.listed(list);
     servers_.listed();
-    if (keeper_) keeper_->listed();
+    if (journal_) journal_->listed();
     config_.directory.forget_gone(loop_.now(),
                                   [this](ServerNumber number) { return servers_.holds(number); });
 }
@@ -99,24 +99,27 @@
                      [this](SessionId id) { return sessions_.holds(id); });
         return held;
     });
-    if (keeper_) keeper_->talk(*peers_);
-    if (comeback_) comeback_->talk(*peers_);
+    if (journal_) journal_->talk(*peers_);
+    if (recovery_) recovery_->talk(*peers_);
 }
 
 void Agent::recover(const RecoveryOrder& order) {
-    Comeback::Sees sees;
-    sees.list_known = [this] { return told_ && !(keeper_ && keeper_->list_is_behind()); };
-    sees.revision = [this] { return config_.directory.revision(); };
-    sees.flow = [this](bool paid) { return sessions_.flow(paid); };
-    sees.running = [this] { return servers_.running(); };
-    Comeback::Tells tells;
-    tells.runs = [this](const cinderfront::Runs& runs) { sessions_.learn(runs); };
-    tells.scope = [this](recovery::Scope scope) {
-        if (keeper_) keeper_->scope_is(scope);
+    RecoveryCoordinator::Inputs inputs;
+    inputs.list_known = [this] { return told_ && !(journal_ && journal_->list_is_behind()); };
+    inputs.revision = [this] { return config_.directory.revision(); };
+    inputs.flow = [this](bool paid) { return sessions_.flow(paid); };
+    inputs.running = [this] { return servers_.running(); };
+    RecoveryCoordinator::Callbacks callbacks;
+    callbacks.server_running = [this](const cinderfront::ServerRunning& running) {
+        sessions_.learn(running);
     };
-    tells.allow = [this](const cinderfront::Allowance& allowance) { sessions_.allow(allowance); };
-    comeback_ = std::make_unique<Comeback>(loop_, log_, order, config_.profile, loop_.kernel().random(),
-                                           std::move(sees), std::move(tells));
+    callbacks.scope = [this](recovery::Scope scope) {
+        if (journal_) journal_->scope_is(scope);
+    };
+    callbacks.allow = [this](const cinderfront::Allowance& allowance) { sessions_.allow(allowance); };
+    recovery_ =
+        std::make_unique<RecoveryCoordinator>(loop_, log_, order, config_.profile, loop_.kernel().random(),
+                                              std::move(inputs), std::move(callbacks));
 }
 
 void Agent::ask_to_end() {
@@ -136,8 +139,8 @@
 // What has ended is to be gone from the disk too; a disk that is stuck is not waited for.
 bool Agent::all_written() {
     constexpr double written_within_s = 1;
-    if (!keeper_ || loop_.now() >= words_until_ + written_within_s) return true;
-    const store::Batcher& batcher = keeper_->memory().batcher();
+    if (!journal_ || loop_.now() >= words_until_ + written_within_s) return true;
+    const store::Batcher& batcher = journal_->memory().batcher();
     return batcher.pending() == 0 && !batcher.out();
 }
 
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -3,13 +3,13 @@
 #pragma once
 
 #include "agent/between.h"
-#include "agent/comeback.h"
 #include "agent/config.h"
 #include "agent/feed_client.h"
-#include "agent/keeper.h"
 #include "agent/log.h"
 #include "agent/peers.h"
+#include "agent/recovery_coordinator.h"
 #include "agent/server_links.h"
+#include "agent/session_journal.h"
 #include "agent/session_table.h"
 #include "agent/viewer_side.h"
 #include "net/buffer_pool.h"
@@ -34,11 +34,12 @@
     // Talks with other agents from here on, or under another key (docs/operate/fleet.md). Throws as Peers
     // does.
     void talk(const PeerOrder& order);
-    // Comes back by stages, and tells other agents of itself (docs/operate/power-loss.md). Before it talks.
+    // Restores service by stages, and tells other agents of itself (docs/operate/power-loss.md). Before it
+    // talks.
     void recover(const RecoveryOrder& order);
-    const Comeback* comeback() const { return comeback_.get(); }
+    const RecoveryCoordinator* recovery() const { return recovery_.get(); }
     const Peers* peers() const { return peers_.get(); }
-    const Keeper* keeper() const { return keeper_.get(); }
+    const SessionJournal* journal() const { return journal_.get(); }
     void ask_to_end();  // SIGTERM: goes on taking and answering for a while
     // To be asked after each turn of the loop: true once the agent is over and all is said.
     bool over();
@@ -59,13 +60,13 @@
     Config config_;
     net::BufferPool pool_;
     SessionTable sessions_;
-    std::unique_ptr<Keeper> keeper_;  // where it remembers
+    std::unique_ptr<SessionJournal> journal_;  // where it remembers
     ServerLinks servers_;
     ViewerSide viewers_;
     FeedClient feed_;
-    std::unique_ptr<Peers> peers_;        // where agents talk
-    std::unique_ptr<Comeback> comeback_;  // where it comes back by stages, or others ask
-    bool told_ = false;                   // by the feed, in this life
+    std::unique_ptr<Peers> peers_;                   // where agents talk
+    std::unique_ptr<RecoveryCoordinator> recovery_;  // where service is restored by stages, or others ask
+    bool told_ = false;                              // by the feed, since the start
     net::Timer wake_;
     double term_at_ = 0, closed_at_ = 0, words_until_ = 0, stay_most_ = 0;
 };
--- a/src/agent/mover.h
+++ b/src/agent/handover_coordinator.h
@@ -1,5 +1,6 @@
-// The hand-overs of one agent: gives time, answers and orders to handover::Move, and asks handover::Planner
-// and the decision module what is to be moved. Stands between the session table and the servers' side.
+// Coordinates the hand-overs of one agent: passes time and answers to handover::Move, carries out its orders,
+// and asks handover::Planner and the decision module which sessions to move and where to. Stands between the
+// session table and the servers' side.
 #pragma once
 
 #include <cinderfront/controller.h>
@@ -22,7 +23,7 @@
     std::string key;  // the key file's text; never logged
 };
 
-// What the mover needs of the session table.
+// What the coordinator needs of the session table.
 class MovableSessions {
 public:
     struct Movable {
@@ -41,13 +42,14 @@
     ~MovableSessions() = default;
 };
 
-class Mover {
+class HandoverCoordinator {
 public:
-    Mover(net::Loop& loop, Log& log, const ServerDirectory& directory, MovableSessions& sessions,
-          ServerPort& servers, const HandoverOrder& order, double spread_s, std::uint64_t seed);
-    ~Mover();
-    Mover(const Mover&) = delete;
-    Mover& operator=(const Mover&) = delete;
+    HandoverCoordinator(net::Loop& loop, Log& log, const ServerDirectory& directory,
+                        MovableSessions& sessions, ServerPort& servers, const HandoverOrder& order,
+                        double spread_s, std::uint64_t seed);
+    ~HandoverCoordinator();
+    HandoverCoordinator(const HandoverCoordinator&) = delete;
+    HandoverCoordinator& operator=(const HandoverCoordinator&) = delete;
 
     void change(const HandoverOrder& order);  // throws handover::KeyError and changes nothing
     void stop() { planner_.stop(); }
@@ -71,7 +73,7 @@
     const handover::Planner::Counts& counts() const { return planner_.counts(); }
 
 private:
-    struct Moving {
+    struct OngoingHandover {
         handover::Move move;
         ServerNumber source = 0, target = 0;
         std::uint64_t epoch = 0;
@@ -82,11 +84,11 @@
         cinderfront::Ending end_as = cinderfront::Ending::Dropped;
         net::Deadlines::Key due{0, 0};
     };
-    void look();
+    void plan();
     void tell(SessionId id, handover::Input input);
     void carry_out(SessionId id, const std::vector<handover::Order>& orders);
-    void say(SessionId id, const Moving& moving, handover::Order order);
-    void wait(SessionId id, Moving& moving);
+    void send(SessionId id, const OngoingHandover& ongoing, handover::Order order);
+    void wait(SessionId id, OngoingHandover& ongoing);
     void settle(SessionId id);
 
     net::Loop& loop_;
@@ -97,7 +99,7 @@
     handover::Settings settings_;
     handover::TicketKeys keys_;
     handover::Planner planner_;
-    std::map<SessionId, Moving> moving_;
+    std::map<SessionId, OngoingHandover> ongoing_;
     std::uint64_t last_epoch_ = 0;
     net::Timer timer_;
 };
--- a/src/agent/memory.h
+++ b/src/agent/memory.h
@@ -11,7 +11,7 @@
 
 namespace jasperspread::agent {
 
-// What an agent is given to remember by, and what its life before has left.
+// What an agent is given to remember by, and what its previous incarnation has left.
 struct MemoryOrder {
     store::Settings settings;
     store::Disk* disk = nullptr;  // outlives the agent
--- a/src/agent/comeback.cpp
+++ b/src/agent/recovery_coordinator.cpp
@@ -1,4 +1,4 @@
-#include "comeback.h"
+#include "recovery_coordinator.h"
 
 #include <algorithm>
 #include <utility>
@@ -9,12 +9,12 @@
 
 namespace {
 
-constexpr double look_every_s = 0.25;
+constexpr double step_interval_s = 0.25;
 // So many others are asked at a look, those that have not told first: 300 agents that come back together
 // send each other some 5,000 datagrams a second for as long as that lasts.
-constexpr std::size_t hailed_at_once = 4;
+constexpr std::size_t peers_queried_at_once = 4;
 // What another one told of itself is old after so long, s.
-constexpr double heard_lives_s = 2.0;
+constexpr double status_valid_s = 2.0;
 
 std::string zone_of(const Profile& profile) {
     const auto zone = profile.settings.zone;
@@ -36,16 +36,17 @@
 
 }  // namespace
 
-Comeback::Comeback(net::Loop& loop, Log& log, const RecoveryOrder& order, const Profile& profile,
-                   std::uint64_t seed, Sees sees, Tells tells)
+RecoveryCoordinator::RecoveryCoordinator(net::Loop& loop, Log& log, const RecoveryOrder& order,
+                                         const Profile& profile, std::uint64_t seed, Inputs inputs,
+                                         Callbacks callbacks)
     : loop_(loop),
       log_(log),
       profile_(profile),
       set_(order.settings),
       began_(loop.now()),
       machine_s_(order.machine_s),
-      sees_(std::move(sees)),
-      tells_(std::move(tells)),
+      inputs_(std::move(inputs)),
+      callbacks_(std::move(callbacks)),
       scope_(scope_settings(order.settings), zone_of(profile), order.boot, order.boot_before, order.machine_s,
              others_there_are(profile), loop.now()),
       stages_(order.settings, recovery::order_named(order.settings.order).value_or(recovery::Order::Off),
@@ -55,85 +56,86 @@
       settled_(!order.asks_scope && stages_.stage() == Stage::Ordinary),
       zone_(zone_of(profile)),
       random_(seed),
-      learns_until_(loop.now() + profile.settings.cold),
+      learn_servers_until_(loop.now() + profile.settings.cold),
       timer_(loop) {
-    turn();
+    step();
 }
 
-void Comeback::talk(Peers& peers) {
+void RecoveryCoordinator::talk(Peers& peers) {
     peers_ = &peers;
     peers.tell_status([this] { return status(); });
     peers.hear_status([this](const fleet::Name& by, const fleet::Status& told) { heard(by, told); });
 }
 
 // Also between looks, so that one in ordinary service tells of now.
-void Comeback::look() {
-    const auto paid = sees_.flow(true), rest = sees_.flow(false);
+void RecoveryCoordinator::update_pressure() {
+    const auto paid = inputs_.flow(true), rest = inputs_.flow(false);
     paid_.told(paid.asked, paid.turned, loop_.now());
     rest_.told(rest.asked, rest.turned, loop_.now());
 }
 
-fleet::Status Comeback::status() {
-    look();
+fleet::Status RecoveryCoordinator::status() {
+    update_pressure();
     fleet::Status own;
     own.zone = zone_.substr(0, fleet::zone_most);
     own.agent_s = loop_.now() - began_;
     own.machine_s = machine_s_ + own.agent_s;
-    own.revision = sees_.revision();
+    own.revision = inputs_.revision();
     own.stage = static_cast<std::uint64_t>(stages_.stage());
     own.pressed = stages_.stage() < Stage::Paid || paid_.pressed();
     // Where there are more than a message holds, in turn.
-    const auto running = sees_.running();
+    const auto running = inputs_.running();
     for (std::size_t i = 0; i < std::min(running.size(), fleet::runs_most); ++i) {
-        const auto& [server, since] = running[(told_runs_ + i) % running.size()];
+        const auto& [server, since] = running[(next_running_server_ + i) % running.size()];
         own.runs.emplace_back(server, loop_.now() - since);
     }
-    told_runs_ += own.runs.size();
+    next_running_server_ += own.runs.size();
     return own;
 }
 
-void Comeback::heard(const fleet::Name& by, const fleet::Status& told) {
-    if (loop_.now() < learns_until_) {
-        for (const auto& [server, seconds] : told.runs) tells_.runs({server, loop_.now() - seconds});
+void RecoveryCoordinator::heard(const fleet::Name& by, const fleet::Status& told) {
+    if (loop_.now() < learn_servers_until_) {
+        for (const auto& [server, seconds] : told.runs)
+            callbacks_.server_running({server, loop_.now() - seconds});
     }
     if (!settled_) scope_.told(by, {told.zone, told.machine_s}, loop_.now());
     if (stages_.stage() == Stage::Ordinary && settled_) return;  // nothing is kept of them then
     others_[by] = {told.pressed, loop_.now()};
 }
 
-double Comeback::others_pressed() const {
+double RecoveryCoordinator::others_pressed() const {
     double heard = 0, pressed = 0;
     for (const auto& [name, other] : others_) {
-        if (loop_.now() > other.heard + heard_lives_s) continue;
+        if (loop_.now() > other.heard + status_valid_s) continue;
         heard += 1;
         pressed += other.pressed ? 1 : 0;
     }
     return heard > 0 ? pressed / heard : 0;
 }
 
-void Comeback::hail() {
+void RecoveryCoordinator::query_peers() {
     if (peers_ == nullptr) return;
     std::vector<fleet::Name> there = peers_->membership().there();
     std::shuffle(there.begin(), there.end(), random_);
     std::stable_partition(there.begin(), there.end(),
                           [this](const fleet::Name& name) { return !others_.contains(name); });
-    there.resize(std::min(there.size(), hailed_at_once));
+    there.resize(std::min(there.size(), peers_queried_at_once));
     for (const fleet::Name& name : there) peers_->hail(name);
 }
 
-void Comeback::turn() {
+void RecoveryCoordinator::step() {
     const double now = loop_.now();
-    look();
+    update_pressure();
     if (!settled_ && scope_.settled(now)) {
         settled_ = true;
         log_.info("scope", {{"is", std::string(name_of(scope_.scope()))},
                             {"answers", std::to_string(scope_.answers())}});
-        tells_.scope(scope_.scope());
+        callbacks_.scope(scope_.scope());
     }
     recovery::Seen seen;
     if (settled_) seen.scope = scope_.scope();
-    seen.list_known = sees_.list_known();
-    seen.server_answers = sees_.flow(true).answered + sees_.flow(false).answered > 0;
+    seen.list_known = inputs_.list_known();
+    seen.server_answers = inputs_.flow(true).answered + inputs_.flow(false).answered > 0;
     seen.pressed = paid_.pressed();
     seen.others_pressed = others_pressed();
     seen.rest_asked = rest_.asked_per_s();
@@ -149,12 +151,12 @@
             if (!ordinary) allowance.per_s.push_back(is_paid(cls) ? let.paid : let.rest);
         }
         allowance.stay_away = ordinary ? 0 : set_.stay_away_s;
-        tells_.allow(allowance);
+        callbacks_.allow(allowance);
     }
     if (ordinary && settled_) others_.clear();
-    if (ordinary && settled_ && now >= learns_until_) return timer_.cancel();
-    hail();
-    timer_.set(now + look_every_s, [this] { turn(); });
+    if (ordinary && settled_ && now >= learn_servers_until_) return timer_.cancel();
+    query_peers();
+    timer_.set(now + step_interval_s, [this] { step(); });
 }
 
 }  // namespace jasperspread::agent
--- a/src/agent/comeback.h
+++ b/src/agent/recovery_coordinator.h
@@ -1,6 +1,6 @@
-// An agent that comes back, perhaps after a power loss: asks other agents who else lost power, goes through
-// the stages in which service returns, and tells the module what may be let in (recovery::Stages). It also
-// tells other agents of this one, for as long as agents talk.
+// Coordinates recovery after a start, perhaps after a power loss: asks other agents who else lost power, goes
+// through the stages in which service is restored, and sets the admission allowance of the decision module
+// (recovery::Stages). Also reports this agent's status to other agents.
 #pragma once
 
 #include <functional>
@@ -25,24 +25,24 @@
     bool asks_scope = true;         // somebody here wants to know who else lost power
 };
 
-class Comeback {
+class RecoveryCoordinator {
 public:
-    // What the rest of the agent tells, asked for when it is needed.
-    struct Sees {
+    // State of the rest of the agent, read when it is needed.
+    struct Inputs {
         std::function<bool()> list_known;
         std::function<std::uint64_t()> revision;
         std::function<SessionTable::Flow(bool paid)> flow;
         // Servers that run since then, as sessions prove that play there.
         std::function<std::vector<std::pair<ServerNumber, double>>()> running;
     };
-    // Who hears of it.
-    struct Tells {
+    // Called when something has been decided or learnt.
+    struct Callbacks {
         std::function<void(recovery::Scope)> scope;  // once, also where it is known at the start
         std::function<void(const cinderfront::Allowance&)> allow;
-        std::function<void(const cinderfront::Runs&)> runs;
+        std::function<void(const cinderfront::ServerRunning&)> server_running;
     };
-    Comeback(net::Loop& loop, Log& log, const RecoveryOrder& order, const Profile& profile,
-             std::uint64_t seed, Sees sees, Tells tells);
+    RecoveryCoordinator(net::Loop& loop, Log& log, const RecoveryOrder& order, const Profile& profile,
+                        std::uint64_t seed, Inputs inputs, Callbacks callbacks);
 
     void talk(Peers& peers);
     recovery::Stage stage() const { return stages_.stage(); }
@@ -55,17 +55,17 @@
     fleet::Status status();
     void heard(const fleet::Name& by, const fleet::Status& told);
     double others_pressed() const;
-    void hail();
-    void look();
-    void turn();
+    void query_peers();
+    void update_pressure();
+    void step();
 
     net::Loop& loop_;
     Log& log_;
     const Profile& profile_;
     const recovery::Settings set_;
     const double began_, machine_s_;
-    Sees sees_;
-    Tells tells_;
+    Inputs inputs_;
+    Callbacks callbacks_;
     recovery::ScopeFinder scope_;
     recovery::Stages stages_;
     recovery::Pressure paid_, rest_;
@@ -74,8 +74,8 @@
     std::string zone_;
     std::mt19937_64 random_;
     std::map<fleet::Name, Other> others_;
-    std::size_t told_runs_ = 0;  // where the next status goes on
-    const double learns_until_;  // of servers that run
+    std::size_t next_running_server_ = 0;  // where the next status goes on
+    const double learn_servers_until_;     // of servers that run
     Peers* peers_ = nullptr;
     net::Timer timer_;
 };
--- a/src/agent/seam.h
+++ b/src/agent/seam.h
@@ -17,10 +17,11 @@
 
 // A set-up as a viewer asks for it.
 struct SetUp {
-    cinderfront::Request request;           // its times are those of the Unix clock
-    std::string class_name, title;          // as they came: they go on unchanged
-    std::string description;                // opaque
-    std::optional<std::string> playing_at;  // a session of an earlier life, and the server where it plays
+    cinderfront::Request request;   // its times are those of the Unix clock
+    std::string class_name, title;  // as they came: they go on unchanged
+    std::string description;        // opaque
+    std::optional<std::string>
+        playing_at;  // a session of an earlier incarnation, and the server where it plays
 };
 
 enum class SessionEnd { Completed, Broken, ViewerLeft };
@@ -48,10 +49,10 @@
 };
 
 // How far an attempt had come that is given up. Only what was sent may have run.
-enum class GivenUp { Queued, Connecting, Sent };
+enum class AttemptProgress { Queued, Connecting, Sent };
 
 // One message of a hand-over to a server; of a PREPARE also what it needs of the session.
-struct HandoverWord {
+struct HandoverMessage {
     handover::Verb verb = handover::Verb::Withdraw;
     SessionId session = 0;
     std::uint64_t epoch = 0;
@@ -71,15 +72,15 @@
 public:
     virtual void set_up(const Attempt& attempt) = 0;  // exactly one started() or attempt_ended() follows
     // ... unless it is given up before.
-    virtual GivenUp give_up(SessionId id) = 0;
+    virtual AttemptProgress give_up(SessionId id) = 0;
     virtual void set_rung(SessionId id, int rung) = 0;
     virtual void end_session(SessionId id) = 0;
     virtual void adopt(SessionId id, ServerNumber server) = 0;  // a session that plays there already
     virtual void forget(SessionId id) = 0;  // listened for no longer; nothing is said of it
     // Of servers that announce it: a hand-over's messages, and where a session stands after one.
     virtual bool hands_over(ServerNumber server) const = 0;
-    virtual void hand_over(const HandoverWord& word) = 0;
-    virtual void rehome(SessionId id, ServerNumber server, int rung) = 0;
+    virtual void hand_over(const HandoverMessage& message) = 0;
+    virtual void reassign(SessionId id, ServerNumber server, int rung) = 0;
     virtual void set_epoch(SessionId id,
                            std::uint64_t epoch) = 0;  // told with the session's end from here on
     virtual void end_at(SessionId id, ServerNumber server, std::uint64_t epoch) = 0;
--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -234,15 +234,16 @@
     entries_.erase(it);
 }
 
-GivenUp ServerLinks::give_up(SessionId id) {
+AttemptProgress ServerLinks::give_up(SessionId id) {
     const auto it = entries_.find(id);
-    if (it == entries_.end()) return GivenUp::Queued;
+    if (it == entries_.end()) return AttemptProgress::Queued;
     const Entry entry = it->second;
     const bool connecting = entry.link != nullptr && !entry.link->connection.is_open();
     erase(id);
-    if (entry.state == State::Queued) return connecting ? GivenUp::Connecting : GivenUp::Queued;
+    if (entry.state == State::Queued)
+        return connecting ? AttemptProgress::Connecting : AttemptProgress::Queued;
     connections_.speak(entry.attempt.server, entry.link, word(ServerVerb::Finish, id, cause_ok));
-    return GivenUp::Sent;
+    return AttemptProgress::Sent;
 }
 
 void ServerLinks::set_rung(SessionId id, int rung) {
@@ -359,7 +360,7 @@
     return it != servers_.end() && it->second.hands_over;
 }
 
-void ServerLinks::hand_over(const HandoverWord& said) {
+void ServerLinks::hand_over(const HandoverMessage& said) {
     ServerMessage message = word(ServerVerb::Unknown, said.session);
     message.name = handover::name_of(said.verb);
     message.fields["epoch"] = std::to_string(said.epoch);
@@ -388,7 +389,7 @@
     }
 }
 
-void ServerLinks::rehome(SessionId id, ServerNumber number, int rung) {
+void ServerLinks::reassign(SessionId id, ServerNumber number, int rung) {
     const auto it = entries_.find(id);
     Entry moved;
     if (it != entries_.end()) moved = it->second;
--- a/src/agent/server_links.h
+++ b/src/agent/server_links.h
@@ -33,14 +33,14 @@
     std::vector<std::pair<ServerNumber, double>> running() const;
 
     void set_up(const Attempt& attempt) override;
-    GivenUp give_up(SessionId id) override;
+    AttemptProgress give_up(SessionId id) override;
     void set_rung(SessionId id, int rung) override;
     void end_session(SessionId id) override;
     void adopt(SessionId id, ServerNumber number) override;
     void forget(SessionId id) override { erase(id); }
     bool hands_over(ServerNumber number) const override;
-    void hand_over(const HandoverWord& said) override;
-    void rehome(SessionId id, ServerNumber number, int rung) override;
+    void hand_over(const HandoverMessage& said) override;
+    void reassign(SessionId id, ServerNumber number, int rung) override;
     void set_epoch(SessionId id, std::uint64_t epoch) override;
     void end_at(SessionId id, ServerNumber number, std::uint64_t epoch) override;
     void probe(ServerNumber number) override;
--- a/src/agent/keeper.h
+++ b/src/agent/session_journal.h
@@ -1,6 +1,6 @@
-// Stands between the sessions and the servers where an agent remembers: a set-up of a paid class is on disk
-// before its first byte goes out, and a session that stands is remembered until it is over. Where nothing is
-// remembered there is no keeper (docs/design/store.md).
+// A write-ahead journal between the session table and the servers: a set-up of a paid class is on disk before
+// its first byte is sent, and a session that stands is recorded until it ends. Where nothing is stored there
+// is no journal (docs/design/store.md).
 #pragma once
 
 #include <map>
@@ -11,38 +11,38 @@
 
 #include "agent/memory.h"
 #include "agent/peers.h"
-#include "agent/returner.h"
 #include "agent/seam.h"
+#include "agent/session_reconciler.h"
 #include "agent/settings.h"
 #include "recovery/list_guard.h"
 
 namespace jasperspread::agent {
 
-class Keeper final : public ServerPort, public ServerEvents {
+class SessionJournal final : public ServerPort, public ServerEvents {
 public:
-    Keeper(net::Loop& loop, Log& log, const MemoryOrder& order, const Profile& profile,
-           const ServerDirectory& directory, ServerEvents& events);
+    SessionJournal(net::Loop& loop, Log& log, const MemoryOrder& order, const Profile& profile,
+                   const ServerDirectory& directory, ServerEvents& events);
     void connect(ServerPort& servers);  // before the first set-up
     void listed();
     // Others can be asked from here on.
-    void talk(Peers& peers) { returner_.talk(peers); }
+    void talk(Peers& peers) { reconciler_.talk(peers); }
     // A session that its viewer says plays at this server.
-    void claimed(SessionId id, ServerNumber server) { returner_.claimed(id, server); }
+    void claimed(SessionId id, ServerNumber server) { reconciler_.claimed(id, server); }
     // Who else lost power is known from here on.
-    void scope_is(recovery::Scope scope) { returner_.scope_is(scope); }
+    void scope_is(recovery::Scope scope) { reconciler_.scope_is(scope); }
     bool list_is_behind() const { return list_.behind(loop_.now()); }
     const Memory& memory() const { return memory_; }
-    const Returner& returner() const { return returner_; }
+    const SessionReconciler& reconciler() const { return reconciler_; }
 
     void set_up(const Attempt& attempt) override;
-    GivenUp give_up(SessionId id) override;
+    AttemptProgress give_up(SessionId id) override;
     void set_rung(SessionId id, int rung) override;
     void end_session(SessionId id) override;
     void adopt(SessionId id, ServerNumber server) override;
     void forget(SessionId id) override;
     bool hands_over(ServerNumber server) const override { return servers_->hands_over(server); }
-    void hand_over(const HandoverWord& word) override { servers_->hand_over(word); }
-    void rehome(SessionId id, ServerNumber server, int rung) override;
+    void hand_over(const HandoverMessage& message) override { servers_->hand_over(message); }
+    void reassign(SessionId id, ServerNumber server, int rung) override;
     void set_epoch(SessionId id, std::uint64_t epoch) override { servers_->set_epoch(id, epoch); }
     void end_at(SessionId id, ServerNumber server, std::uint64_t epoch) override {
         servers_->end_at(id, server, epoch);
@@ -65,12 +65,12 @@
         events_.ended_at(id, from, epoch, how);
     }
     void process_gone(ServerNumber server) override {
-        returner_.process_gone(server);
+        reconciler_.process_gone(server);
         events_.process_gone(server);
     }
 
 private:
-    struct Kept {
+    struct Entry {
         ServerNumber server = 0;
         std::string class_name, title;
         bool paid = false;
@@ -78,8 +78,8 @@
     };
     bool is_paid(const std::string& class_name) const;
     bool may_take_new(ServerNumber number) const;
-    store::SessionRecord record_of(SessionId id, const Kept& kept, store::Phase phase) const;
-    void kept(SessionId id, bool is);
+    store::SessionRecord record_of(SessionId id, const Entry& entry, store::Phase phase) const;
+    void record_written(SessionId id, bool is);
     void drop(SessionId id);  // its entry and its record
 
     net::Loop& loop_;
@@ -88,11 +88,11 @@
     const ServerDirectory& directory_;
     ServerEvents& events_;
     const bool serves_without_;
-    const std::uint64_t life_;
+    const std::uint64_t incarnation_;
     ServerPort* servers_ = nullptr;
-    std::map<SessionId, Kept> kept_;
+    std::map<SessionId, Entry> entries_;
     Memory memory_;
-    Returner returner_;
+    SessionReconciler reconciler_;
     recovery::ListGuard list_;
     bool behind_ = false;
 };
--- a/src/agent/session_table.cpp
+++ b/src/agent/session_table.cpp
@@ -107,7 +107,7 @@
     Session* session = find(id);
     if (session == nullptr || session->phase == Phase::Answered) return;
     if (session->phase == Phase::Standing) {
-        if (mover_) mover_->cancel(id);
+        if (handovers_) handovers_->cancel(id);
         servers_->end_session(id);
         end_attempt(id, Ending::Revoked, {});
         return;
@@ -145,7 +145,7 @@
         if (session.phase == Phase::Standing) ending.push_back(id);
     }
     for (const SessionId id : ending) {
-        if (mover_) mover_->cancel(id);
+        if (handovers_) handovers_->cancel(id);
         viewers_->over(id, SessionEnd::Broken);
         servers_->end_session(id);
         end_attempt(id, Ending::Revoked, {});
@@ -175,7 +175,8 @@
 void SessionTable::session_ended(SessionId id, Ending how, const LoadReport& load) {
     const Session* session = find(id);
     if (session == nullptr || session->phase != Phase::Standing) return;
-    if (mover_ && mover_->source_ended(id)) return;  // it goes on elsewhere, or that is about to be known
+    if (handovers_ && handovers_->source_ended(id))
+        return;  // it goes on elsewhere, or that is about to be known
     // The viewer hears first: what has stood must be released towards it at once.
     viewers_->over(id, how == Ending::Delivered ? SessionEnd::Completed
                        : how == Ending::Revoked ? SessionEnd::ViewerLeft
@@ -186,34 +187,35 @@
 void SessionTable::noted(SessionId id, cinderfront::NoteKind kind, double value) {
     const Session* session = find(id);
     if (session == nullptr || !session->out) return;
-    if (mover_) mover_->noted(session->server, kind, value);
+    if (handovers_) handovers_->noted(session->server, kind, value);
     tell(cinderfront::Note{id, kind, session->attempts - 1, session->server, value});
 }
 
 // ---- Hand-overs ----
 
 void SessionTable::hand_over(const HandoverOrder& order) {
-    if (mover_) return mover_->change(order);
+    if (handovers_) return handovers_->change(order);
     // Other agents hear of a shortage within the time between two notes.
     const double spread = std::max(settings_.told_every, 1.0);
-    mover_ = std::make_unique<Mover>(loop_, log_, directory_, static_cast<MovableSessions&>(*this), *servers_,
-                                     order, spread, settings_.position + 1);
+    handovers_ =
+        std::make_unique<HandoverCoordinator>(loop_, log_, directory_, static_cast<MovableSessions&>(*this),
+                                              *servers_, order, spread, settings_.position + 1);
 }
 
 void SessionTable::begin_no_moves() {
-    if (mover_) mover_->stop();
+    if (handovers_) handovers_->stop();
 }
 
 void SessionTable::handed(SessionId id, ServerNumber from, const HandoverReply& reply) {
-    if (mover_) mover_->handed(id, from, reply);
+    if (handovers_) handovers_->handed(id, from, reply);
 }
 
 void SessionTable::ended_at(SessionId id, ServerNumber from, std::uint64_t epoch, Ending how) {
-    if (mover_) mover_->ended_at(id, from, epoch, how);
+    if (handovers_) handovers_->ended_at(id, from, epoch, how);
 }
 
 void SessionTable::process_gone(ServerNumber server) {
-    if (mover_) mover_->process_gone(server);
+    if (handovers_) handovers_->process_gone(server);
 }
 
 MovableSessions::Movable SessionTable::movable_of(SessionId id, const Session& session) const {
@@ -242,8 +244,8 @@
     if (session == nullptr || session->phase != Phase::Standing) return;
     session->server = to;
     session->rung = rung;
-    servers_->rehome(id, to, rung);
-    tell(cinderfront::Rehomed{id, to, rung});
+    servers_->reassign(id, to, rung);
+    tell(cinderfront::HandoverCompleted{id, to, rung});
 }
 
 void SessionTable::lost(SessionId id, Ending how) {
@@ -276,11 +278,15 @@
 // Takes the attempt back: the server is told, and the module.
 void SessionTable::withdraw(SessionId id, Session& session, Ending how) {
     if (session.phase == Phase::Standing) return;
-    const GivenUp was = servers_->give_up(id);
+    const AttemptProgress was = servers_->give_up(id);
     // Guards against a dead machine that goes unsuspected: where the time allowed is shorter than a connect
     // may take, the connect never fails by itself, and each set-up would be tried there again.
-    const bool dialled_in_vain = was == GivenUp::Connecting && how == Ending::Expired;
-    end_attempt(id, was == GivenUp::Sent ? how : dialled_in_vain ? Ending::DialFailed : Ending::Unused, {});
+    const bool dialled_in_vain = was == AttemptProgress::Connecting && how == Ending::Expired;
+    end_attempt(id,
+                was == AttemptProgress::Sent ? how
+                : dialled_in_vain            ? Ending::DialFailed
+                                             : Ending::Unused,
+                {});
 }
 
 void SessionTable::drop_if_done(SessionId id) {
@@ -356,14 +362,14 @@
 void SessionTable::act(const cinderfront::Move& action) {
     Session* session = find(action.id);
     if (session == nullptr || session->phase != Phase::Standing) return;
-    if (mover_) mover_->cancel(action.id);
+    if (handovers_) handovers_->cancel(action.id);
     viewers_->moved(action.id);
     servers_->end_session(action.id);
     end_attempt(action.id, Ending::Revoked, {});
 }
 
 void SessionTable::act(const cinderfront::Offer& action) {
-    if (mover_) mover_->offered(action);
+    if (handovers_) handovers_->offered(action);
 }
 
 void SessionTable::act(const cinderfront::Timer& action) {
--- a/src/agent/session_table.h
+++ b/src/agent/session_table.h
@@ -13,8 +13,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "agent/handover_coordinator.h"
 #include "agent/log.h"
-#include "agent/mover.h"
 #include "agent/seam.h"
 #include "net/loop.h"
 
@@ -46,7 +46,7 @@
     // Sessions are handed over from here on, or by other settings. Throws handover::KeyError.
     void hand_over(const HandoverOrder& order);
     void begin_no_moves();
-    const Mover* mover() const { return mover_.get(); }
+    const HandoverCoordinator* handovers() const { return handovers_.get(); }
 
     // Ends what stands, towards both sides: this agent is about to go.
     void end_all();
@@ -55,7 +55,7 @@
     std::size_t standing() const { return standing_; }
     // What may be let in from here on (src/recovery).
     void allow(const cinderfront::Allowance& allowance) { tell(allowance); }
-    void learn(const cinderfront::Runs& runs) { tell(runs); }
+    void learn(const cinderfront::ServerRunning& running) { tell(running); }
     struct Flow {  // since the start
         std::uint64_t asked = 0, answered = 0, turned = 0;
     };
@@ -119,7 +119,7 @@
     std::array<Flow, 2> flows_;  // of other classes, of paid ones
     std::deque<cinderfront::Event> events_;
     bool telling_ = false;
-    std::unique_ptr<Mover> mover_;  // where sessions are handed over
+    std::unique_ptr<HandoverCoordinator> handovers_;  // where sessions are handed over
 };
 
 }  // namespace jasperspread::agent
--- a/src/ops/program.cpp
+++ b/src/ops/program.cpp
@@ -78,7 +78,7 @@
     if (remembers) order.boot = memory->boot;
     if (remembers) order.boot_before = memory->found.before.boot;
     order.machine_s = uptime_of(settings.recovery.uptime_file);
-    order.asks_scope = remembers && memory->found.before.lives > 0;
+    order.asks_scope = remembers && memory->found.before.starts > 0;
     return order;
 }
 
--- a/src/ops/store_command.cpp
+++ b/src/ops/store_command.cpp
@@ -47,12 +47,12 @@
     }
     const store::Found found = file.load("");
     if (dump_->parsed()) {
-        out << "agent " << found.before.name << ", " << found.before.lives << " lives, "
+        out << "agent " << found.before.name << ", " << found.before.starts << " starts, "
             << found.sessions.size() << " sessions, " << found.damaged << " damaged, list of revision "
             << found.list.revision << "\n";
     } else {
         out << nlohmann::json{{"agent", found.before.name},
-                              {"lives", found.before.lives},
+                              {"lives", found.before.starts},
                               {"boot", found.before.boot},
                               {"list_revision", found.list.revision}}
             << "\n";
@@ -61,12 +61,12 @@
         const std::string id = codec::to_hex(one.id);
         if (dump_->parsed()) {
             out << id << " " << word_for(one.phase) << " at " << one.server << ", " << one.class_name
-                << (one.paid ? ", paid" : "") << ", life " << one.life << "\n";
+                << (one.paid ? ", paid" : "") << ", incarnation " << one.incarnation << "\n";
         } else {
             out << nlohmann::json{{"session", id},           {"phase", word_for(one.phase)},
                                   {"paid", one.paid},        {"server", one.server},
                                   {"class", one.class_name}, {"title", one.title},
-                                  {"life", one.life},        {"at", one.at}}
+                                  {"life", one.incarnation}, {"at", one.at}}
                 << "\n";
         }
     }
--- a/src/recovery/returning.cpp
+++ b/src/recovery/reconciliation.cpp
@@ -1,55 +1,56 @@
-#include "returning.h"
+#include "reconciliation.h"
 
 #include <algorithm>
 #include <limits>
 
 namespace jasperspread::recovery {
 
-std::string_view name_of(Fate fate) {
+std::string_view name_of(Outcome outcome) {
     constexpr std::array<std::string_view, 5> names = {"kept", "left", "released", "over", "failed"};
-    return names[static_cast<std::size_t>(fate)];
+    return names[static_cast<std::size_t>(outcome)];
 }
 
-void Returning::remember(SessionId id, bool intent, Trust trust) {
+void Reconciliation::remember(SessionId id, bool intent, Trust trust) {
     waiting_[id] = {intent, trust, {}};
 }
 
-void Returning::settle(SessionId id, Fate fate) {
+void Reconciliation::settle(SessionId id, Outcome outcome) {
     if (waiting_.erase(id) == 0) return;
-    ++counts_[static_cast<std::size_t>(fate)];
-    done_.push_back({id, fate});
+    ++counts_[static_cast<std::size_t>(outcome)];
+    done_.push_back({id, outcome});
 }
 
-void Returning::claimed(SessionId id) {
-    settle(id, Fate::Kept);
+void Reconciliation::claimed(SessionId id) {
+    settle(id, Outcome::Kept);
 }
 
-void Returning::claimed_elsewhere(SessionId id) {
+void Reconciliation::claimed_elsewhere(SessionId id) {
     const auto it = waiting_.find(id);
     if (it == waiting_.end()) return;
     it->second.words.viewer_elsewhere = true;
-    settle(id, session_fate(it->second.trust, it->second.words) == SessionFate::Release ? Fate::Released
-                                                                                        : Fate::Over);
+    settle(id, session_decision(it->second.trust, it->second.words) == SessionDecision::Release
+                   ? Outcome::Released
+                   : Outcome::Over);
 }
 
-void Returning::plays(SessionId id) {
+void Reconciliation::plays(SessionId id) {
     if (const auto it = waiting_.find(id); it != waiting_.end()) it->second.words.server = ServerWord::Plays;
 }
 
-void Returning::ended(SessionId id) {
+void Reconciliation::ended(SessionId id) {
     const auto it = waiting_.find(id);
     if (it == waiting_.end()) return;
     it->second.words.server = ServerWord::Unknown;
-    settle(id, it->second.intent ? Fate::Failed : Fate::Over);
+    settle(id, it->second.intent ? Outcome::Failed : Outcome::Over);
 }
 
 // A paid set-up may have run all the same.
-void Returning::lost_power(SessionId id) {
+void Reconciliation::lost_power(SessionId id) {
     const auto it = waiting_.find(id);
-    if (it != waiting_.end()) settle(id, it->second.intent ? Fate::Failed : Fate::Over);
+    if (it != waiting_.end()) settle(id, it->second.intent ? Outcome::Failed : Outcome::Over);
 }
 
-std::vector<Question> Returning::ask(const std::vector<std::string>& peers, double now) {
+std::vector<Question> Reconciliation::ask(const std::vector<std::string>& peers, double now) {
     std::vector<Question> questions;
     if (waiting_.empty() || now < next_ask_ || now >= claims_end_) return questions;
     next_ask_ = now + set_.ask_every_s;
@@ -73,60 +74,61 @@
     return questions;
 }
 
-void Returning::told(const std::string& peer, std::uint64_t number, const std::vector<SessionId>& held) {
+void Reconciliation::told(const std::string& peer, std::uint64_t number, const std::vector<SessionId>& held) {
     const auto part = parts_.find(number);
     if (part == parts_.end()) return;
     part->second.answered.insert(peer);
     for (const SessionId id : held) {
         // An answer speaks for what its question has named, and for nothing else.
         const auto& asked = part->second.sessions;
-        if (std::find(asked.begin(), asked.end(), id) != asked.end()) settle(id, Fate::Left);
+        if (std::find(asked.begin(), asked.end(), id) != asked.end()) settle(id, Outcome::Left);
     }
 }
 
-bool Returning::all_answered(const Part& part) const {
+bool Reconciliation::all_answered(const Part& part) const {
     return !peers_.empty() &&
            std::includes(part.answered.begin(), part.answered.end(), peers_.begin(), peers_.end());
 }
 
 // What becomes of one that nobody has claimed in time. `answered`: by all who could hold it.
-Fate Returning::fate_of(const Waiting& waiting, bool answered) {
+Outcome Reconciliation::outcome_of(const Waiting& waiting, bool answered) {
     SessionWords words = waiting.words;
     words.waited = true;
     words.unclaimed = answered;
     if (waiting.intent) {
-        // Its viewer's connection died with the life before, so that nobody waits for the answer here.
-        const PaidFate fate = paid_fate(words.server, false, true);
-        return fate == PaidFate::Released && answered ? Fate::Released : Fate::Failed;
+        // Its viewer's connection died with the previous incarnation, so that nobody waits for the answer
+        // here.
+        const PaidDecision decision = paid_decision(words.server, false, true);
+        return decision == PaidDecision::Released && answered ? Outcome::Released : Outcome::Failed;
     }
     // Somebody who was not heard may hold it: then it is not ours to end.
-    if (!answered) return Fate::Left;
-    switch (session_fate(waiting.trust, words)) {
-        case SessionFate::Release:
-        case SessionFate::OverReleased:
-            return Fate::Released;
-        case SessionFate::Over:
-            return Fate::Over;
+    if (!answered) return Outcome::Left;
+    switch (session_decision(waiting.trust, words)) {
+        case SessionDecision::Release:
+        case SessionDecision::OverReleased:
+            return Outcome::Released;
+        case SessionDecision::Over:
+            return Outcome::Over;
         default:
-            return Fate::Left;
+            return Outcome::Left;
     }
 }
 
-std::vector<Returning::Done> Returning::decide(double now) {
+std::vector<Reconciliation::Done> Reconciliation::decide(double now) {
     if (now >= claims_end_ && !waiting_.empty()) {
         std::set<SessionId> answered;
         for (const auto& [number, part] : parts_) {
             if (all_answered(part)) answered.insert(part.sessions.begin(), part.sessions.end());
         }
-        std::vector<Done> fates;
+        std::vector<Done> outcomes;
         for (const auto& [id, waiting] : waiting_)
-            fates.push_back({id, fate_of(waiting, answered.contains(id))});
-        for (const Done& one : fates) settle(one.id, one.fate);
+            outcomes.push_back({id, outcome_of(waiting, answered.contains(id))});
+        for (const Done& one : outcomes) settle(one.id, one.outcome);
     }
     return std::exchange(done_, {});
 }
 
-double Returning::due() const {
+double Reconciliation::due() const {
     if (!done_.empty()) return 0;
     if (waiting_.empty()) return std::numeric_limits<double>::infinity();
     return std::min(next_ask_, claims_end_);
--- a/src/recovery/returning.h
+++ b/src/recovery/reconciliation.h
@@ -1,6 +1,6 @@
-// An agent that has returned, and the sessions of its life before: which of them its viewers claim, which
-// others hold, and what becomes of the rest (docs/design/recovery.md). Decides without I/O; time is passed
-// in, s.
+// Reconciliation of the sessions of an agent's previous incarnation: which of them its viewers claim, which
+// other agents hold, and what becomes of the rest (docs/design/recovery.md). Decides without I/O; time is
+// passed in, s.
 #pragma once
 
 #include <array>
@@ -18,7 +18,7 @@
 
 using SessionId = std::uint64_t;
 
-struct ReturnSettings {
+struct ReconciliationSettings {
     double claim_s = 8;                // viewers are brought back, and others' answers waited for, so long
     double ask_every_s = 0.3;          // until its answer comes a peer is asked so often
     std::size_t questions_most = 64;   // at once
@@ -31,18 +31,18 @@
     std::vector<SessionId> sessions;
 };
 
-enum class Fate {
+enum class Outcome {
     Kept,      // claimed by its viewer: it is in the table again
     Left,      // another agent's, or perhaps: nothing is said of it
     Released,  // at its server, where nobody watches it
     Over,      // it had ended
     Failed,    // a paid set-up that may have run: never sent again, never refused
 };
-std::string_view name_of(Fate fate);
+std::string_view name_of(Outcome outcome);
 
-class Returning {
+class Reconciliation {
 public:
-    Returning(const ReturnSettings& settings, double now)
+    Reconciliation(const ReconciliationSettings& settings, double now)
         : set_(settings), claims_end_(now + settings.claim_s), next_ask_(now) {}
 
     // `intent`: a paid set-up that may have run, else a session that stood.
@@ -63,13 +63,13 @@
 
     struct Done {
         SessionId id = 0;
-        Fate fate = Fate::Left;
+        Outcome outcome = Outcome::Left;
     };
     // What has been decided by `now`; each session is named once.
     std::vector<Done> decide(double now);
     double due() const;  // infinity: nothing is open
 
-    std::uint64_t count(Fate fate) const { return counts_[static_cast<std::size_t>(fate)]; }
+    std::uint64_t count(Outcome outcome) const { return counts_[static_cast<std::size_t>(outcome)]; }
 
 private:
     struct Waiting {
@@ -81,11 +81,11 @@
         std::vector<SessionId> sessions;
         std::set<std::string> answered;
     };
-    void settle(SessionId id, Fate fate);
+    void settle(SessionId id, Outcome outcome);
     bool all_answered(const Part& part) const;
-    static Fate fate_of(const Waiting& waiting, bool answered);
+    static Outcome outcome_of(const Waiting& waiting, bool answered);
 
-    const ReturnSettings set_;
+    const ReconciliationSettings set_;
     const double claims_end_;
     double next_ask_;
     std::map<SessionId, Waiting> waiting_;
--- a/src/recovery/stages.h
+++ b/src/recovery/stages.h
@@ -31,8 +31,8 @@
 // What a stage ends by, as seen now.
 struct Seen {
     std::optional<Scope> scope;   // once it is settled
-    bool list_known = false;      // the feed has spoken in this life, and is not behind
-    bool server_answers = false;  // some server has answered a set-up of this life
+    bool list_known = false;      // the feed has spoken since the start, and is not behind
+    bool server_answers = false;  // some server has answered a set-up since the start
     bool pressed = false;         // here those of the paid classes are turned away
     double others_pressed = 0;    // part of the agents heard of lately where they are
     double rest_asked = 0;        // of the other classes, a second
--- a/src/recovery/trust.cpp
+++ b/src/recovery/trust.cpp
@@ -63,29 +63,29 @@
     return Trust::Void;
 }
 
-SessionFate session_fate(Trust trust, const SessionWords& words) {
-    if (words.taken_over) return SessionFate::Leave;
+SessionDecision session_decision(Trust trust, const SessionWords& words) {
+    if (words.taken_over) return SessionDecision::Leave;
     const bool there = words.server == ServerWord::Plays || words.server == ServerWord::Holds;
     if (words.viewer_elsewhere)
-        return words.server == ServerWord::Unknown ? SessionFate::Leave : SessionFate::Release;
+        return words.server == ServerWord::Unknown ? SessionDecision::Leave : SessionDecision::Release;
     if (words.unclaimed)
-        return words.server == ServerWord::Unknown ? SessionFate::Over : SessionFate::Release;
-    if (trust == Trust::Void) return there ? SessionFate::OverReleased : SessionFate::Over;
-    if (words.server == ServerWord::Plays) return SessionFate::Keep;
-    if (words.server == ServerWord::Unknown) return SessionFate::Over;
-    return words.waited ? SessionFate::OverReleased : SessionFate::Ask;
+        return words.server == ServerWord::Unknown ? SessionDecision::Over : SessionDecision::Release;
+    if (trust == Trust::Void) return there ? SessionDecision::OverReleased : SessionDecision::Over;
+    if (words.server == ServerWord::Plays) return SessionDecision::Keep;
+    if (words.server == ServerWord::Unknown) return SessionDecision::Over;
+    return words.waited ? SessionDecision::OverReleased : SessionDecision::Ask;
 }
 
-PaidFate paid_fate(ServerWord server, bool viewer_waits, bool waited) {
+PaidDecision paid_decision(ServerWord server, bool viewer_waits, bool waited) {
     switch (server) {
         case ServerWord::Plays:
-            return viewer_waits ? PaidFate::Standing : PaidFate::Released;
+            return viewer_waits ? PaidDecision::Standing : PaidDecision::Released;
         case ServerWord::Unknown:
-            return PaidFate::Failed;
+            return PaidDecision::Failed;
         default:
             // Held and not begun, or silent: it may yet begin. In the end it has failed, whatever became of
             // it.
-            return waited ? PaidFate::Released : PaidFate::Ask;
+            return waited ? PaidDecision::Released : PaidDecision::Ask;
     }
 }
 
--- a/src/recovery/trust.h
+++ b/src/recovery/trust.h
@@ -51,7 +51,7 @@
     bool waited = false;            // for as long as is waited for a silent server
     bool unclaimed = false;         // no viewer has named it in time, and all who could hold it hold it not
 };
-enum class SessionFate {
+enum class SessionDecision {
     Ask,           // the server, again
     Keep,          // it stands here
     Leave,         // it is another agent's: nothing is said of it
@@ -59,15 +59,15 @@
     Over,          // the viewer is told that it is over
     OverReleased,  // the same, and the server is told once it speaks
 };
-SessionFate session_fate(Trust trust, const SessionWords& words);
+SessionDecision session_decision(Trust trust, const SessionWords& words);
 
-enum class PaidFate {
+enum class PaidDecision {
     Ask,
     Standing,  // found standing, and its viewer still waits for the answer
     Released,  // failed for its viewer, and released at the server as soon as that speaks
     Failed,    // never sent again, never refused
 };
-PaidFate paid_fate(ServerWord server, bool viewer_waits, bool waited);
+PaidDecision paid_decision(ServerWord server, bool viewer_waits, bool waited);
 
 // Whether a server may get new work, by what was remembered of it and what the feed says.
 struct ListWords {
--- a/src/store/disk.h
+++ b/src/store/disk.h
@@ -29,7 +29,7 @@
 
 // What was found when a store was opened.
 struct Found {
-    OwnRecord before;  // as the life before left it; no name: a new store
+    OwnRecord before;  // as the previous incarnation left it; no name: a new store
     std::vector<SessionRecord> sessions;
     ListRecord list;          // revision 0: none
     std::size_t damaged = 0;  // records that could not be read
--- a/src/store/record.cpp
+++ b/src/store/record.cpp
@@ -52,8 +52,9 @@
 }
 
 std::string encode(const SessionRecord& record) {
-    const json whole = json::array({version, static_cast<std::uint64_t>(record.phase), record.paid,
-                                    record.server, record.class_name, record.title, record.life, record.at});
+    const json whole =
+        json::array({version, static_cast<std::uint64_t>(record.phase), record.paid, record.server,
+                     record.class_name, record.title, record.incarnation, record.at});
     return sealed(record.id, whole);
 }
 
--- a/src/store/record.h
+++ b/src/store/record.h
@@ -23,8 +23,8 @@
     bool paid = false;
     std::string server;  // its id in the list: an address may be another server's by the time of reading
     std::string class_name, title;
-    std::uint64_t life = 0;  // of this agent, in which it was written
-    double at = 0;           // Unix time of writing, s
+    std::uint64_t incarnation = 0;  // of this agent, in which it was written
+    double at = 0;                  // Unix time of writing, s
     bool operator==(const SessionRecord&) const = default;
 };
 
@@ -39,9 +39,9 @@
 
 // Whose store it is, and how far it had come.
 struct OwnRecord {
-    std::string name;         // of the agent
-    std::uint64_t lives = 0;  // starts so far
-    std::string boot;         // the kernel's id of the boot in which it was last opened
+    std::string name;          // of the agent
+    std::uint64_t starts = 0;  // of the agent on this store, so far
+    std::string boot;          // the kernel's id of the boot in which it was last opened
 };
 
 // A body carries its version and a checksum over key and content, so that what a disk has changed is not
--- a/src/store/sqlite/sqlite_store.h
+++ b/src/store/sqlite/sqlite_store.h
@@ -23,7 +23,7 @@
 
 class SqliteStore {
 public:
-    enum class Use { Serve, Look };  // Look: as the commands do; nothing is written and no life begins
+    enum class Use { Serve, Look };  // Look: as the commands do; nothing is written and no start is counted
     // Throws StoreError: no folder, another process holds it, it is another agent's, or a later version's. A
     // file that is damaged is set aside when it is opened to serve.
     SqliteStore(const Settings& settings, const std::string& agent, Use use);
@@ -31,7 +31,7 @@
     SqliteStore(const SqliteStore&) = delete;
     SqliteStore& operator=(const SqliteStore&) = delete;
 
-    // Reads all. Where it serves, a new life begins, and is on disk when this returns.
+    // Reads all. Where it serves, a start is counted, and is on disk when this returns.
     Found load(const std::string& boot);
     Fault apply(const std::vector<Change>& batch);
     std::string check();  // empty: sound
--- a/tests/lab/handover_test.cpp
+++ b/tests/lab/handover_test.cpp
@@ -23,7 +23,7 @@
 }
 
 struct Caught {
-    jasperspread::agent::Mover::UnderWay move;
+    jasperspread::agent::HandoverCoordinator::UnderWay move;
     int source = 0, target = 0;
 };
 
@@ -49,8 +49,8 @@
         constexpr double look_s = 0.00005;
         for (int i = 0; i < 200000; ++i) {
             world.run_for(look_s);
-            const auto* mover = world.agent(0)->sessions().mover();
-            for (const auto& move : mover->under_way()) {
+            const auto* handovers = world.agent(0)->sessions().handovers();
+            for (const auto& move : handovers->under_way()) {
                 if (move.step == step)
                     return Caught{move, static_cast<int>(move.source) - 1, static_cast<int>(move.target) - 1};
             }
@@ -69,8 +69,8 @@
         if (!world.ledger().violations().empty()) return world.ledger().violations().front();
         const auto& sums = world.ledger().sums();
         if (sums.duplicate_setups > 0 || sums.double_payments > 0) return "set up twice";
-        if (world.agent(0) != nullptr && world.agent(0)->sessions().mover() != nullptr &&
-            !world.agent(0)->sessions().mover()->under_way().empty())
+        if (world.agent(0) != nullptr && world.agent(0)->sessions().handovers() != nullptr &&
+            !world.agent(0)->sessions().handovers()->under_way().empty())
             return "a hand-over never ends";
         return "";
     }
@@ -213,7 +213,7 @@
     }
     stage.world.squeeze(home, 0.05);
     stage.world.run_for(6);
-    CHECK_GT(stage.world.agent(0)->sessions().mover()->counts().stayed, 0);
+    CHECK_GT(stage.world.agent(0)->sessions().handovers()->counts().stayed, 0);
     stage.world.run_for(10);
     CHECK_EQ(stage.world.viewers(0).watching(), 0);  // it heard of the end
     CHECK_EQ(stage.verdict(), "");
@@ -356,9 +356,9 @@
     for (int i = 0; i < 40; ++i) world.viewers(0).ask(0, 60);
     world.run_for(2);
     world.squeeze(0, 0.05);
-    for (int i = 0; i < 100000 && world.agent(0)->sessions().mover()->under_way().empty(); ++i)
+    for (int i = 0; i < 100000 && world.agent(0)->sessions().handovers()->under_way().empty(); ++i)
         world.run_for(0.0001);
-    REQUIRE_FALSE(world.agent(0)->sessions().mover()->under_way().empty());
+    REQUIRE_FALSE(world.agent(0)->sessions().handovers()->under_way().empty());
     world.viewers(0).stop_arrivals();  // nobody comes again
     world.ask_agent_to_end(0);
     constexpr double longest_s = 3.4 + 0.2;  // the stay after SIGTERM, and the last words
--- a/tests/lab/power_test.cpp
+++ b/tests/lab/power_test.cpp
@@ -39,7 +39,7 @@
     for (int agent = 0; agent < world.plan().agents; ++agent) {
         const auto* one = world.agent(agent);
         others +=
-            one == nullptr || one->comeback()->stage() != jasperspread::recovery::Stage::Ordinary ? 1 : 0;
+            one == nullptr || one->recovery()->stage() != jasperspread::recovery::Stage::Ordinary ? 1 : 0;
     }
     return others <= besides;
 }
--- a/tests/lab/processes_test.cpp
+++ b/tests/lab/processes_test.cpp
@@ -347,10 +347,10 @@
 namespace {
 
 // Four that remember, talk and come back, two in each of two buildings.
-struct Returning {
+struct RestartedAgents {
     Folder folder;
     std::unique_ptr<SocketWorld> world;
-    explicit Returning(const std::string& order, int agents = 4, double ask_s = 2) {
+    explicit RestartedAgents(const std::string& order, int agents = 4, double ask_s = 2) {
         WorldPlan plan = power_processes_plan(1, agents);
         plan.recovery.ask_s = ask_s;
         plan.arrivals_per_s = 12;
@@ -376,7 +376,7 @@
 }  // namespace
 
 TEST_CASE("processes: each tells what died with it, by its boot and by what the others say") {
-    Returning back("off", 4, 15);  // however busy the machine is, all are heard
+    RestartedAgents back("off", 4, 15);  // however busy the machine is, all are heard
     REQUIRE(back.waits_for([&] { return back.all_joined(); }));
     back.world->kill_agent(0);
     CHECK(back.waits_for([&] { return back.scope_is({0}, "process"); }));
@@ -395,7 +395,7 @@
 }
 
 TEST_CASE("processes: service comes back in its order, with a split and a stopped process in the middle") {
-    Returning back("fleet");
+    RestartedAgents back("fleet");
     REQUIRE(back.waits_for([&] { return back.all_joined(); }));
     back.world->set_lossy({0.2, 0.05, 0.1, 0.3});
     for (const bool again : {false, true}) {
@@ -432,7 +432,7 @@
 
 TEST_CASE(
     "processes: buildings and all lose power, some never return, claims are kept and nothing runs twice") {
-    Returning back("fleet", 6);
+    RestartedAgents back("fleet", 6);
     PowerPlan plan{3, 1, 2, 1, 7, 10, 5, 0.2, false};
     const PowerRun run = play_power(*back.world, plan);
     CHECK_EQ(run.result.violations.empty() ? "" : run.result.violations.front(), "");
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -270,7 +270,7 @@
             f.ask(100, 5, 0);
             f.ends(100.1, 5, 1, Ending::Dropped);
         }
-        if (proof) f.on(105, Runs{1, 90});
+        if (proof) f.on(105, ServerRunning{1, 90});
         for (std::uint64_t id = 10; id < 14; ++id) count += sent_to(f.ask(105.5, id, 0)) ? 1 : 0;
         return count;
     };
--- a/tests/recovery/explore_test.cpp
+++ b/tests/recovery/explore_test.cpp
@@ -5,7 +5,7 @@
 #include <optional>
 #include <vector>
 
-#include "recovery/returning.h"
+#include "recovery/reconciliation.h"
 
 using namespace jasperspread::recovery;
 
@@ -29,24 +29,26 @@
 // One returned agent with one session, and what it was told so far.
 class Play {
 public:
-    explicit Play(const World& world) : world_(world) { returning_.remember(id, world.intent, world.trust); }
+    explicit Play(const World& world) : world_(world) {
+        reconciliation_.remember(id, world.intent, world.trust);
+    }
 
     void hear(Word word, double now) {
-        const bool open = returning_.holds(id);
+        const bool open = reconciliation_.holds(id);
         switch (word) {
             case Word::Claimed:
-                returning_.claimed(id);
+                reconciliation_.claimed(id);
                 claimed_ = claimed_ || open;
                 break;
             case Word::Elsewhere:
-                returning_.claimed_elsewhere(id);
+                reconciliation_.claimed_elsewhere(id);
                 elsewhere_ = elsewhere_ || open;
                 break;
             case Word::Plays:
-                returning_.plays(id);
+                reconciliation_.plays(id);
                 break;
             case Word::Ended:
-                returning_.ended(id);
+                reconciliation_.ended(id);
                 ended_ = ended_ || open;
                 break;
             case Word::Ask:
@@ -64,20 +66,20 @@
     }
 
     void decide(double now) {
-        for (const auto& one : returning_.decide(now)) done_.push_back(one);
+        for (const auto& one : reconciliation_.decide(now)) done_.push_back(one);
     }
 
     // Judges what became of the session.
     bool broken() const {
-        if (done_.size() != 1) return true;  // one fate, whatever comes
-        const Fate fate = done_.front().fate;
+        if (done_.size() != 1) return true;  // one outcome, whatever comes
+        const Outcome outcome = done_.front().outcome;
         const bool another = world_.a_holds || world_.b_holds;
-        if (fate == Fate::Released && another && !elsewhere_)
+        if (outcome == Outcome::Released && another && !elsewhere_)
             return true;  // it plays on there, for its viewer
-        if (fate == Fate::Released && (claimed_ || ended_)) return true;
-        if (claimed_ != (fate == Fate::Kept)) return true;
-        if (fate == Fate::Failed && !world_.intent) return true;
-        return fate == Fate::Left && !another && claimed_;
+        if (outcome == Outcome::Released && (claimed_ || ended_)) return true;
+        if (claimed_ != (outcome == Outcome::Kept)) return true;
+        if (outcome == Outcome::Failed && !world_.intent) return true;
+        return outcome == Outcome::Left && !another && claimed_;
     }
 
 private:
@@ -86,15 +88,16 @@
     void ask(double now) {
         std::vector<std::string> peers = {"a"};
         if (world_.asks_b) peers.emplace_back("b");
-        for (const Question& one : returning_.ask(peers, now)) (one.peer == "a" ? asked_a_ : asked_b_) = true;
+        for (const Question& one : reconciliation_.ask(peers, now))
+            (one.peer == "a" ? asked_a_ : asked_b_) = true;
     }
     void answer(const std::string& peer, bool holds) {
-        returning_.told(peer, 0, holds ? std::vector{id} : std::vector<SessionId>{});
+        reconciliation_.told(peer, 0, holds ? std::vector{id} : std::vector<SessionId>{});
     }
 
     const World& world_;
-    Returning returning_{{5, 0, 64, 100}, 0};
-    std::vector<Returning::Done> done_;
+    Reconciliation reconciliation_{{5, 0, 64, 100}, 0};
+    std::vector<Reconciliation::Done> done_;
     bool claimed_ = false, ended_ = false, elsewhere_ = false, asked_a_ = false, asked_b_ = false;
 };
 
@@ -132,7 +135,7 @@
 
 }  // namespace
 
-TEST_CASE("returning: every order of up to five words, whoever holds the session") {
+TEST_CASE("reconciliation: every order of up to five words, whoever holds the session") {
     std::size_t orders = 0;
     for (const bool intent : {false, true}) {
         for (const bool a_holds : {false, true}) {
@@ -147,6 +150,6 @@
     CHECK_EQ(orders, 8 * 37449);
 }
 
-TEST_CASE("returning: an agent that asks only one of the others is found out") {
+TEST_CASE("reconciliation: an agent that asks only one of the others is found out") {
     CHECK_GT(explore({false, Trust::Hint, false, true, false}).broken, 0);
 }
--- a/tests/recovery/trust_test.cpp
+++ b/tests/recovery/trust_test.cpp
@@ -142,49 +142,50 @@
 }
 
 TEST_CASE("a remembered session, by what its server, its viewer and other agents say") {
-    using enum SessionFate;
-    const auto fate = [](Trust trusted, ServerWord server, bool taken, bool elsewhere, bool waited) {
-        return session_fate(trusted, {server, taken, elsewhere, waited});
+    using enum SessionDecision;
+    const auto outcome = [](Trust trusted, ServerWord server, bool taken, bool elsewhere, bool waited) {
+        return session_decision(trusted, {server, taken, elsewhere, waited});
     };
     using W = ServerWord;
-    CHECK_EQ(fate(hint, W::Silent, false, false, false), Ask);
-    CHECK_EQ(fate(hint, W::Silent, false, false, true), OverReleased);
-    CHECK_EQ(fate(hint, W::Plays, false, false, false), Keep);
-    CHECK_EQ(fate(hint, W::Plays, false, false, true), Keep);
-    CHECK_EQ(fate(hint, W::Holds, false, false, false), Ask);
-    CHECK_EQ(fate(hint, W::Unknown, false, false, false), Over);
-    CHECK_EQ(fate(none, W::Silent, false, false, false), Over);
-    CHECK_EQ(fate(none, W::Plays, false, false, false), OverReleased);  // nothing is left playing unheard of
-    CHECK_EQ(fate(hint, W::Plays, false, true, false), Release);
-    CHECK_EQ(fate(hint, W::Silent, false, true, false), Release);
-    CHECK_EQ(fate(hint, W::Unknown, false, true, false), Leave);
+    CHECK_EQ(outcome(hint, W::Silent, false, false, false), Ask);
+    CHECK_EQ(outcome(hint, W::Silent, false, false, true), OverReleased);
+    CHECK_EQ(outcome(hint, W::Plays, false, false, false), Keep);
+    CHECK_EQ(outcome(hint, W::Plays, false, false, true), Keep);
+    CHECK_EQ(outcome(hint, W::Holds, false, false, false), Ask);
+    CHECK_EQ(outcome(hint, W::Unknown, false, false, false), Over);
+    CHECK_EQ(outcome(none, W::Silent, false, false, false), Over);
+    CHECK_EQ(outcome(none, W::Plays, false, false, false),
+             OverReleased);  // nothing is left playing unheard of
+    CHECK_EQ(outcome(hint, W::Plays, false, true, false), Release);
+    CHECK_EQ(outcome(hint, W::Silent, false, true, false), Release);
+    CHECK_EQ(outcome(hint, W::Unknown, false, true, false), Leave);
     // Nobody names it, and all who could hold it do not: released wherever it may play, unless it is
     // another's.
     for (const Trust trusted : {hint, none}) {
-        CHECK_EQ(session_fate(trusted, {W::Plays, false, false, true, true}), Release);
-        CHECK_EQ(session_fate(trusted, {W::Silent, false, false, true, true}), Release);
-        CHECK_EQ(session_fate(trusted, {W::Unknown, false, false, true, true}), Over);
-        CHECK_EQ(session_fate(trusted, {W::Plays, true, false, true, true}), Leave);
+        CHECK_EQ(session_decision(trusted, {W::Plays, false, false, true, true}), Release);
+        CHECK_EQ(session_decision(trusted, {W::Silent, false, false, true, true}), Release);
+        CHECK_EQ(session_decision(trusted, {W::Unknown, false, false, true, true}), Over);
+        CHECK_EQ(session_decision(trusted, {W::Plays, true, false, true, true}), Leave);
     }
     for (const W server : {W::Silent, W::Plays, W::Holds, W::Unknown}) {
         for (const bool elsewhere : {false, true}) {
             // Nothing is released that another agent holds.
-            CHECK_EQ(fate(hint, server, true, elsewhere, true), Leave);
-            CHECK_EQ(fate(none, server, true, elsewhere, true), Leave);
+            CHECK_EQ(outcome(hint, server, true, elsewhere, true), Leave);
+            CHECK_EQ(outcome(none, server, true, elsewhere, true), Leave);
         }
     }
 }
 
 TEST_CASE("a paid set-up that may have run fails or is found standing: there is no other end") {
-    using enum PaidFate;
+    using enum PaidDecision;
     using W = ServerWord;
-    CHECK_EQ(paid_fate(W::Plays, true, false), Standing);
-    CHECK_EQ(paid_fate(W::Plays, false, true), Released);
-    CHECK_EQ(paid_fate(W::Unknown, true, false), Failed);
-    CHECK_EQ(paid_fate(W::Silent, true, false), Ask);
-    CHECK_EQ(paid_fate(W::Silent, true, true), Released);
-    CHECK_EQ(paid_fate(W::Holds, true, false), Ask);
-    CHECK_EQ(paid_fate(W::Holds, false, true), Released);
+    CHECK_EQ(paid_decision(W::Plays, true, false), Standing);
+    CHECK_EQ(paid_decision(W::Plays, false, true), Released);
+    CHECK_EQ(paid_decision(W::Unknown, true, false), Failed);
+    CHECK_EQ(paid_decision(W::Silent, true, false), Ask);
+    CHECK_EQ(paid_decision(W::Silent, true, true), Released);
+    CHECK_EQ(paid_decision(W::Holds, true, false), Ask);
+    CHECK_EQ(paid_decision(W::Holds, false, true), Released);
 }
 
 TEST_CASE("a feed that is behind is believed in what it takes away, and in nothing that it adds") {
--- a/tests/store/power_test.cpp
+++ b/tests/store/power_test.cpp
@@ -43,7 +43,7 @@
     settings.megabytes = 4;  // so that the log is often carried over into the file
     try {
         SqliteStore store(settings, "n0", SqliteStore::Use::Serve);
-        const std::uint64_t life = store.load("boot").before.lives + 1;
+        const std::uint64_t life = store.load("boot").before.starts + 1;
         std::mt19937_64 random(disk.seed);
         while (true) {
             std::vector<Change> batch;
@@ -96,7 +96,7 @@
         const Found found = store.load("boot");
         wrong += found.damaged + (found.set_aside ? 1 : 0);
         std::map<SessionId, std::uint64_t> there;
-        for (const SessionRecord& one : found.sessions) there[one.id] = one.life;
+        for (const SessionRecord& one : found.sessions) there[one.id] = one.incarnation;
         // The batch that was out when the power failed is there whole or not at all, so that each record is
         // as it was said to be, or as that batch made it.
         for (const auto& [id, by_life] : wanted) {
--- a/tests/store/sqlite_test.cpp
+++ b/tests/store/sqlite_test.cpp
@@ -72,7 +72,7 @@
     {
         SqliteStore store(settings_of(folder), "n0", SqliteStore::Use::Serve);
         const Found found = store.load("first boot");
-        CHECK_EQ(found.before.lives, 0);
+        CHECK_EQ(found.before.starts, 0);
         CHECK(found.sessions.empty());
         CHECK_EQ(store.apply({{1, encode(record(1))}, {2, encode(record(2, Phase::Intent))}}), Fault::None);
         CHECK_EQ(store.apply({{1, std::nullopt}, {~0ULL, encode(record(~0ULL))}}), Fault::None);
@@ -80,14 +80,14 @@
     }
     const Found found = opened(folder);
     CHECK_EQ(found.before.name, "n0");
-    CHECK_EQ(found.before.lives, 1);
+    CHECK_EQ(found.before.starts, 1);
     CHECK_EQ(found.before.boot, "first boot");
     CHECK_EQ(found.list, ListRecord{7, {"s-1", "s-2"}, 5});
     CHECK_EQ(found.damaged, 0);
     REQUIRE_EQ(found.sessions.size(), 2);
     CHECK_EQ(found.sessions[0], record(~0ULL));
     CHECK_EQ(found.sessions[1], record(2, Phase::Intent));
-    CHECK_EQ(opened(folder).before.lives, 2);
+    CHECK_EQ(opened(folder).before.starts, 2);
 }
 
 TEST_CASE("store: no folder, another agent's, in use, a later version's: one line each") {
