--- a/src/policy/brain.h
+++ b/src/policy/brain.h
@@ -864,7 +864,7 @@
         find_server(best.server)->sends.push_back(now);  // it counts there as a set-up would, done or not
         act(Offer{event.id, best.server, best.rung, gain});
     }
-    void on(const Rehomed& event) {
+    void on(const HandoverCompleted& event) {
         Session* s = find(event.id);
         if (s == nullptr || !s->playing || !s->out) return;
         release(*s);
@@ -878,7 +878,7 @@
     void on(const ProbeResult&) {}
     void on(const PeerMessage&) {}
     // Rule 4: a server that an own start alone had taken for cold is known to be as warm as that.
-    void on(const Runs& event) {
+    void on(const ServerRunning& event) {
         Server* server = find_server(event.server);
         const bool old = server != nullptr && server->entry.last_start.value_or(never) > event.since;
         if (server == nullptr || server->fell || old) return;
