--- a/lab/slopes/recovery.cpp
+++ b/lab/slopes/recovery.cpp
@@ -6,7 +6,7 @@
 #include "lab/slopes/parts.h"
 #include "lab/slopes/process_cost.h"
 #include "lab/slopes/rig.h"
-#include "recovery/returning.h"
+#include "recovery/reconciliation.h"
 #include "store/sqlite/sqlite_store.h"
 
 namespace lab {
@@ -72,18 +72,18 @@
 double asks_all_s(int sessions) {
     namespace recovery = jasperspread::recovery;
     constexpr int others = 449;
-    recovery::ReturnSettings settings;
+    recovery::ReconciliationSettings settings;
     settings.claim_s = 1e6;
-    recovery::Returning returning(settings, 0);
+    recovery::Reconciliation reconciliation(settings, 0);
     for (int id = 1; id <= sessions; ++id)
-        returning.remember(static_cast<recovery::SessionId>(id), false, recovery::Trust::Hint);
+        reconciliation.remember(static_cast<recovery::SessionId>(id), false, recovery::Trust::Hint);
     std::vector<std::string> peers;
     for (int peer = 0; peer < others; ++peer) peers.push_back("n" + std::to_string(peer));
     double now = 0;
     for (;; now += settings.ask_every_s) {
-        const auto questions = returning.ask(peers, now);
+        const auto questions = reconciliation.ask(peers, now);
         if (questions.empty()) return now;
-        for (const auto& one : questions) returning.told(one.peer, one.number, {});
+        for (const auto& one : questions) reconciliation.told(one.peer, one.number, {});
     }
 }
 
