Write a minus and a comma without what GCC 12 warns of

Cause: -Wrestrict, a known false finding on literals joined to strings, would be an error where warnings are. Change: insert in place of a sum. Measured: no warning in the release build of lab/capacity and its tests; capacity_tests and capacity_page pass.

--- a/lab/capacity/page.cpp
+++ b/lab/capacity/page.cpp
@@ -148,7 +148,7 @@
 
 std::string shown(double value) {
     if (value == 0) return "0";
-    if (value < 0) return "-" + shown(-value);
+    if (value < 0) return shown(-value).insert(0, 1, '-');
     const bool whole = value == std::round(value);
     const int decimals = whole ? 0 : significant_digits - 1 - static_cast<int>(std::floor(std::log10(value)));
     const double step = std::pow(10.0, -decimals);
@@ -162,7 +162,7 @@
         if (text.back() == '.') text.pop_back();
     }
     for (auto at = static_cast<std::ptrdiff_t>(std::min(point, text.size())) - 3; at > 0; at -= 3)
-        text.insert(static_cast<std::size_t>(at), ",");
+        text.insert(static_cast<std::size_t>(at), 1, ',');
     return text;
 }
 
