Measure what connections that rest cost, and tell operators of it

Cause: what readiness costs was known from one measurement by hand, and an operator had no page on connections.

--- a/lab/run/experiments.cpp
+++ b/lab/run/experiments.cpp
@@ -25,7 +25,10 @@
         {"membership", "300 agents that talk, in virtual time: messages, deaths found, false ones",
          run_membership},
         {"demo", "ten seconds of service on sockets", run_demo},
-        {"load", "what a set-up costs the agent, served and refused, on sockets", run_load}};
+        {"load", "what a set-up costs the agent, served and refused, on sockets", run_load},
+        {"resting",
+         "what a set-up, an accept and a close cost the agent beside 0 to 18,000 connections that rest",
+         run_resting}};
     return all;
 }
 
--- a/lab/run/experiments.h
+++ b/lab/run/experiments.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,9 +18,10 @@
     int agents_or(int usual) const { return agents > 0 ? agents : usual; }
     std::string broken;  // the name of a broken agent that takes the place of the sound one
     std::string broken_program;
-    std::string order;         // of return after a power loss: only this one
-    std::uint64_t follow = 0;  // the session of which all is printed
-    bool cut_down = false;     // a failing plan of faults is cut down to a smaller one
+    std::string order;                   // of return after a power loss: only this one
+    std::optional<std::size_t> resting;  // how many connections rest: only so many
+    std::uint64_t follow = 0;            // the session of which all is printed
+    bool cut_down = false;               // a failing plan of faults is cut down to a smaller one
 };
 
 struct Result {
@@ -46,6 +48,7 @@
 Result run_power_loss_fleet(const Ask& ask);  // 300 agents in virtual time, each order of return
 Result run_membership(const Ask& ask);        // 300 agents that talk, in virtual time
 Result run_load(const Ask& ask);              // sockets: what a set-up costs the agent
+Result run_resting(const Ask& ask);           // sockets: what it costs beside connections that rest
 
 Result run_demo(const Ask& ask);  // sockets: ten seconds of service
 
--- a/lab/run/main.cpp
+++ b/lab/run/main.cpp
@@ -26,6 +26,7 @@
     app.add_option("--broken", ask.broken, "a broken agent in place of the sound one, by its name");
     app.add_option("--broken-program", ask.broken_program, "the program that can be broken");
     app.add_option("--order", ask.order, "of return after a power loss: only this one is played");
+    app.add_option("--resting", ask.resting, "connections that rest: only beside so many");
     app.add_option("--follow", ask.follow, "print all that is seen of this session");
     app.add_flag("--cut-down", ask.cut_down, "look for a smaller plan of faults that still fails");
     CLI11_PARSE(app, argc, argv);
--- a/lab/run/socket_world.h
+++ b/lab/run/socket_world.h
@@ -62,6 +62,8 @@
     Viewers& viewers(int agent) override { return *slot(agent).viewers; }
     LessonServer* server(int number) { return servers_[static_cast<std::size_t>(number)].get(); }
     int deaths_at_syncs() const { return deaths_at_syncs_; }
+    jasperspread::net::Loop& loop() { return loop_; }
+    jasperspread::net::Address agent_address(int agent) { return slot(agent).listens; }
     AgentProcess& process(int agent) { return *slot(agent).process; }
 
 private:
