--- a/lab/run/experiments.cpp
+++ b/lab/run/experiments.cpp
@@ -30,7 +30,10 @@
         {"demo", "ten seconds of service on sockets", run_demo},
         {"load", "what a set-up costs the agent, served and refused, on sockets", run_load},
         {"slopes", "what everything costs an agent, against connections, sessions, servers and agents",
-         run_slopes}};
+         run_slopes},
+        {"resting",
+         "what a set-up, an accept and a close cost the agent beside 0 to 18,000 connections that rest",
+         run_resting}};
     return all;
 }
 
--- a/lab/run/main.cpp
+++ b/lab/run/main.cpp
@@ -32,6 +32,7 @@
     app.add_option("--order", ask.order, "of return after a power loss: only this one is played");
     app.add_option("--links", ask.links, "of membership: only calm or lossy ones are played")
         ->check(CLI::IsMember({"calm", "lossy"}));
+    app.add_option("--resting", ask.resting, "connections that rest: only beside so many");
     app.add_option("--follow", ask.follow, "print all that is seen of this session");
     app.add_option("--only", ask.only, "of an experiment with parts, these, with commas");
     app.add_flag("--cut-down", ask.cut_down, "look for a smaller plan of faults that still fails");
--- a/lab/scale/datagram_kind.cpp
+++ b/lab/scale/datagram_kind.cpp
@@ -61,7 +61,7 @@
     if (!reader.head(Type::Bytes) || !reader.head(Type::Array) || !reader.head(Type::Unsigned))
         return std::nullopt;
     const auto kind = reader.head(Type::Unsigned);
-    if (!kind || *kind > static_cast<std::uint64_t>(Kind::Status)) return std::nullopt;
+    if (!kind || *kind > static_cast<std::uint64_t>(Kind::StatusReply)) return std::nullopt;
     return static_cast<Kind>(*kind);
 }
 
