--- a/lab/run/main.cpp
+++ b/lab/run/main.cpp
@@ -9,6 +9,7 @@
 
 #include "lab/run/experiments.h"
 
+// NOLINTNEXTLINE(bugprone-exception-escape): only a fault in the table of options throws here
 int main(int argc, char** argv) {
     signal(SIGPIPE, SIG_IGN);
     CLI::App app("The laboratory of jasperspread: emulated servers and viewers round the real agent.");
--- a/tests/fuzz/server_line_fuzz.cpp
+++ b/tests/fuzz/server_line_fuzz.cpp
@@ -10,6 +10,7 @@
 
 using namespace jasperspread;
 
+// NOLINTNEXTLINE(readability-identifier-naming): the fuzzer calls this name
 extern "C" int LLVMFuzzerTestOneInput(const unsigned char* data, std::size_t size) {
     static const handover::TicketKeys keys(std::string(64, '1'));
     std::string_view rest(reinterpret_cast<const char*>(data), size);
