--- a/lab/run/main.cpp
+++ b/lab/run/main.cpp
@@ -10,6 +10,7 @@
 #include "lab/run/experiments.h"
 #include "lab/slopes/counted_agent.h"
 
+// NOLINTNEXTLINE(bugprone-exception-escape): only a fault in the table of options throws here
 int main(int argc, char** argv) {
     signal(SIGPIPE, SIG_IGN);
     // The laboratory starts itself in this way, as an agent whose system calls are counted.
