--- a/lab/scale/hollow_agent.cpp
+++ b/lab/scale/hollow_agent.cpp
@@ -79,12 +79,12 @@
     if (watched_ == nullptr || watched_->peers() == nullptr) return 0;
     const auto& members = watched_->peers()->membership().members();
     const auto it = members.find(name);
-    return it == members.end() ? 0 : it->second.word.life.token;
+    return it == members.end() ? 0 : it->second.record.incarnation.token;
 }
 
 void EventLog::talks() {
     const auto& self = watched_->peers()->membership().self();
-    queue_.push({AgentEvent::What::Talks, agent_, kernel_.now(), 0, self.address, self.life.token});
+    queue_.push({AgentEvent::What::Talks, agent_, kernel_.now(), 0, self.address, self.incarnation.token});
 }
 
 void EventLog::write(agent::Level, std::string_view event, std::initializer_list<agent::Field> fields) {
--- a/lab/slopes/counting_kernel.h
+++ b/lab/slopes/counting_kernel.h
@@ -10,9 +10,10 @@
 
 // Counts of one process. Atomic, because another process may read them in shared memory.
 struct KernelCounts {
-    std::atomic<std::uint64_t> calls{0};         // system calls; the clock is none
-    std::atomic<std::uint64_t> waits{0};         // of these, waits for readiness
-    std::atomic<std::uint64_t> poll_entries{0};  // descriptors that the kernel was asked about in waits
+    std::atomic<std::uint64_t> calls{0};  // system calls; the clock is none
+    std::atomic<std::uint64_t> waits{0};  // of these, waits for readiness
+    std::atomic<std::uint64_t> poll_entries{
+        0};  // descriptors that the kernel was asked or told about in waits
     std::atomic<std::uint64_t> bytes_sent{0};
 
     // The values at one moment.
@@ -39,6 +40,21 @@
         counts_.poll_entries += count;
         return counted().poll(polled, count, wait_s);
     }
+    int create_interest_list() override { return counted().create_interest_list(); }
+    int add_interest(int list, int fd, short events, std::uint64_t tag) override {
+        return counted().add_interest(list, fd, events, tag);
+    }
+    int modify_interest(int list, int fd, short events, std::uint64_t tag) override {
+        return counted().modify_interest(list, fd, events, tag);
+    }
+    int remove_interest(int list, int fd) override { return counted().remove_interest(list, fd); }
+    // An interest list is kept by the kernel: what is told of it is what is ready.
+    int wait(int list, jasperspread::net::ReadyEvent* ready, std::size_t room, double wait_s) override {
+        ++counts_.waits;
+        const int found = counted().wait(list, ready, room, wait_s);
+        if (found > 0) counts_.poll_entries += static_cast<std::uint64_t>(found);
+        return found;
+    }
     int listen(const Address& at) override { return counted().listen(at); }
     int accept(int fd) override { return counted().accept(fd); }
     int open_stream() override { return counted().open_stream(); }
