--- a/tests/lab/scale_test.cpp
+++ b/tests/lab/scale_test.cpp
@@ -172,7 +172,7 @@
 TEST_CASE("scale: the kind of a datagram is read past its seal") {
     namespace fleet = jasperspread::fleet;
     fleet::Seal seal(fleet::Keys(ticket_key()), "n7", "127.0.0.1:2910", {1, 0xFFFFFFFFFFFFU});
-    for (const auto kind : {fleet::Kind::Ping, fleet::Kind::List, fleet::Kind::Status}) {
+    for (const auto kind : {fleet::Kind::Ping, fleet::Kind::List, fleet::Kind::StatusReply}) {
         fleet::Message message;
         message.kind = kind;
         const std::string datagram = seal.close(0x123456789ABCDEFU, fleet::encode(message));
