--- a/src/agent/peers.h
+++ b/src/agent/peers.h
@@ -42,7 +42,6 @@
     void tell_status(std::function<fleet::Status()> status) { status_ = std::move(status); }
     void hear_status(Heard heard) { heard_ = std::move(heard); }
     void query_status(const fleet::Name& whom);
-    void hail(const fleet::Name& whom) { query_status(whom); }  // the former name
     const fleet::Membership& membership() const { return membership_; }
     const fleet::Seal& seal() const { return seal_; }
     struct Counts {
--- a/src/agent/recovery_coordinator.cpp
+++ b/src/agent/recovery_coordinator.cpp
@@ -120,7 +120,7 @@
     std::stable_partition(there.begin(), there.end(),
                           [this](const fleet::Name& name) { return !others_.contains(name); });
     there.resize(std::min(there.size(), peers_queried_at_once));
-    for (const fleet::Name& name : there) peers_->hail(name);
+    for (const fleet::Name& name : there) peers_->query_status(name);
 }
 
 void RecoveryCoordinator::step() {
