Keep no scratch space in each server's ledger

Cause: scale_tests 'a whole list is so many bytes' failed by 0.7 B (1,500.7 of 1,500 B of heap a server): the kept sums are 241 B more. Change: a ledger's scratch vector is local to the sum that needs it.

--- a/src/accounting/charge_ledger.h
+++ b/src/accounting/charge_ledger.h
@@ -98,13 +98,13 @@
             if (it->since <= as_of) sum -= it->rate;
         }
         visits_ += static_cast<std::uint64_t>(ended_.end() - ended_since);
-        begun_.clear();
+        std::vector<const Charge*> begun;
         for (auto it = sessions_.rbegin(); it != sessions_.rend() && it->since > as_of; ++it) {
-            begun_.push_back(&*it);
+            begun.push_back(&*it);
         }
-        visits_ += begun_.size();
-        std::ranges::sort(begun_, {}, &Charge::id);
-        for (const Charge* charge : begun_) {
+        visits_ += begun.size();
+        std::ranges::sort(begun, {}, &Charge::id);
+        for (const Charge* charge : begun) {
             if (slot <= charge->last_slot) sum += charge->rate;
         }
         return sum;
@@ -117,7 +117,6 @@
     CountedSum rates_;
     mutable std::array<Answer, 2> answers_;  // a server is read in two ways: its link, and its rack's uplink
     mutable std::size_t next_answer_ = 0;
-    mutable std::vector<const Charge*> begun_;  // scratch
     mutable std::uint64_t visits_ = 0;
 };
 
