--- a/lab/scale/hollow_agent.cpp
+++ b/lab/scale/hollow_agent.cpp
@@ -153,11 +153,11 @@
     present_ = 0;
 }
 
-AgentSample HollowAgent::sample() const {
+AgentSample HollowAgent::sample() {
     AgentSample sample;
     sample.agent = agent_;
     sample.cpu_s = cpu_before_s_;
-    if (thread_.joinable()) sample.cpu_s += thread_cpu_s(const_cast<std::thread&>(thread_).native_handle());
+    if (thread_.joinable()) sample.cpu_s += thread_cpu_s(thread_.native_handle());
     sample.traffic = kernel_.traffic();
     sample.present = present_;
     return sample;
--- a/lab/scale/hollow_agent.h
+++ b/lab/scale/hollow_agent.h
@@ -56,7 +56,7 @@
     void kill();  // without a word to anybody
     bool runs() const { return thread_.joinable(); }
     CountingKernel& kernel() { return kernel_; }
-    AgentSample sample() const;
+    AgentSample sample();
 
 private:
     void live(jasperspread::agent::Config config, const jasperspread::ops::OperatorSettings& settings,
--- a/lab/scale/line_party.h
+++ b/lab/scale/line_party.h
@@ -29,7 +29,7 @@
     }
     std::size_t heard(std::uint64_t number, std::string_view bytes) override {
         std::size_t taken = 0;
-        for (std::size_t end; (end = bytes.find('\n', taken)) != std::string_view::npos; taken = end + 1)
+        for (std::size_t end = 0; (end = bytes.find('\n', taken)) != std::string_view::npos; taken = end + 1)
             heard_(number, bytes.substr(taken, end - taken));
         return taken;
     }
--- a/lab/scale/log_tail.cpp
+++ b/lab/scale/log_tail.cpp
@@ -23,7 +23,7 @@
     rest_ += fresh;
     std::vector<LogLine> lines;
     std::size_t taken = 0;
-    for (std::size_t end; (end = rest_.find('\n', taken)) != std::string::npos; taken = end + 1) {
+    for (std::size_t end = 0; (end = rest_.find('\n', taken)) != std::string::npos; taken = end + 1) {
         std::istringstream line(rest_.substr(taken, end - taken));
         LogLine read;
         std::string level;
--- a/lab/scale/scale_world.cpp
+++ b/lab/scale/scale_world.cpp
@@ -117,7 +117,7 @@
 void ScaleWorld::start_agents() {
     for (int agent = 0; agent < plan_.agents(); ++agent) add_agent(agent);
     relays_.begin();
-    const auto talk = [this](const Slot& own) { return own.talks || !own.runs; };
+    const auto talk = [](const Slot& own) { return own.talks || !own.runs; };
     const auto all_talk = [&] { return std::all_of(agents_.begin(), agents_.end(), talk); };
     const std::vector<int> seeds = plan_.seeds();
     for (const int seed : seeds) {
--- a/lab/scale/scale_world.h
+++ b/lab/scale/scale_world.h
@@ -81,7 +81,7 @@
     };
     static std::size_t index(int at) { return static_cast<std::size_t>(at); }
     bool source_reaches(int zone) const { return !cut_ || plan_.placement.region_of_zone(zone) == 0; }
-    bool was_cut(int one, int other, double now) const;
+    bool was_cut(int one, int other, double at) const;
     void start_feeds();
     void start_agents();
     void add_agent(int agent);
--- a/lab/slopes/recovery.cpp
+++ b/lab/slopes/recovery.cpp
@@ -37,7 +37,7 @@
 
 std::string operator_file(const std::string& folder) {
     std::ofstream(folder + "/boot") << "boot 0";
-    const std::string path = folder + "/operator.yaml";
+    std::string path = folder + "/operator.yaml";
     std::ofstream(path) << "store:\n  folder: " << folder << "\n  boot_file: " << folder
                         << "/boot\n  claim_s: " << claim_s << "\n";
     return path;
@@ -78,6 +78,7 @@
     for (int id = 1; id <= sessions; ++id)
         reconciliation.remember(static_cast<recovery::SessionId>(id), false, recovery::Trust::Hint);
     std::vector<std::string> peers;
+    peers.reserve(others);
     for (int peer = 0; peer < others; ++peer) peers.push_back("n" + std::to_string(peer));
     double now = 0;
     for (;; now += settings.ask_every_s) {
--- a/lab/slopes/slopes.cpp
+++ b/lab/slopes/slopes.cpp
@@ -55,7 +55,7 @@
 }
 
 std::string fresh_folder(const Ask& ask, const std::string& name) {
-    const std::string folder = ask.folder + "/" + name;
+    std::string folder = ask.folder + "/" + name;
     std::filesystem::create_directory(folder);
     return folder;
 }
--- a/lab/slopes/viewer_host.cpp
+++ b/lab/slopes/viewer_host.cpp
@@ -195,7 +195,7 @@
 
     void readable(std::size_t at) {
         if (at >= lines_.size()) return;
-        std::array<char, 16384> bytes;
+        std::array<char, 16384> bytes{};
         const ssize_t got = ::recv(lines_[at].fd, bytes.data(), bytes.size(), MSG_DONTWAIT);
         if (got <= 0) return closed(at);
         Line& line = lines_[at];
--- a/src/agent/viewer_side.cpp
+++ b/src/agent/viewer_side.cpp
@@ -41,7 +41,7 @@
 }  // namespace
 
 // One viewers' connection.
-class ViewerSide::Peer : public Connection::Owner {
+class ViewerSide::Peer final : public Connection::Owner {
 public:
     Peer(ViewerSide& side, std::uint64_t came, net::Fd fd)
         : number(came),
