--- a/tests/accounting/decisions_test.cpp
+++ b/tests/accounting/decisions_test.cpp
@@ -347,7 +347,9 @@
     for (const double fill : {0.3, 0.75}) {
         auto beside_few = work_of_events(few, fill);
         auto beside_many = work_of_events(many, fill);
-        for (const auto& [kind, work] : beside_many) {
+        for (const auto& entry : beside_many) {
+            const std::string& kind = entry.first;
+            const auto work = entry.second;
             INFO("a ", kind, " at links ", fill, " full: ", beside_few[kind], " beside ", few, " sessions, ",
                  work, " beside ", many);
             CHECK(work <= 2 * beside_few[kind] + 20);
--- a/tests/lab/relay_test.cpp
+++ b/tests/lab/relay_test.cpp
@@ -35,6 +35,7 @@
     const net::Address at = relay.listen(own_loopback_address());
     constexpr int callers = 8;
     std::vector<net::Fd> open;
+    open.reserve(callers);
     for (int caller = 0; caller < callers; ++caller) open.push_back(speak(kernel, at, "hello\n"));
     constexpr int turns_most = 400;
     for (int turn = 0; turn < turns_most && heard.size() < callers; ++turn) loop.turn(0.05);
--- a/tests/lab/scale_counts_test.cpp
+++ b/tests/lab/scale_counts_test.cpp
@@ -149,6 +149,7 @@
     for (const int servers : {100, 300, 500, 700, 900}) {
         const WorldPlan plan = roomy_plan(servers);
         std::vector<Member> members;
+        members.reserve(static_cast<std::size_t>(servers));
         for (int server = 0; server < servers; ++server) members.push_back({server, nowhere, "up", 0});
         const auto event = feed_event(plan, 2, true, members);
         bytes.push_back({static_cast<double>(servers), static_cast<double>(event.dump().size())});
--- a/tests/net/loop_test.cpp
+++ b/tests/net/loop_test.cpp
@@ -38,7 +38,7 @@
                     {[this](Fd fd) { accepted(std::move(fd)); },
                      [this, most] { return peers_.size() < most; }, [this] { ++starved; }}) {}
 
-    class Peer : public Connection::Owner {
+    class Peer final : public Connection::Owner {
     public:
         Peer(EchoService& service, Fd fd)
             : service_(service), connection(service.stage_.loop(), service.pool_, *this, std::move(fd)) {}
@@ -128,6 +128,7 @@
                 if (order_of(i) == order) expected.push_back(ends[i].near.get());
             }
         }
+        all.reserve(ends.size());
         for (Stage::Ends& one : ends) {
             all.push_back(watched(stage, one, [&](Watched& who, short) { met.push_back(who.fd()); }));
         }
@@ -359,6 +360,7 @@
             EchoService service(stage);
             const auto first = visit(stage, service, 8);
             std::vector<int> waiting;
+            waiting.reserve(6);
             for (int i = 0; i < 6; ++i) waiting.push_back(stage.far_connect(service.address()));
             // Both ends are of this process: only one more can be opened.
             const Fd next(stage.kernel().open_stream(), &stage.kernel());
--- a/tests/net/poller_test.cpp
+++ b/tests/net/poller_test.cpp
@@ -169,8 +169,8 @@
         Stage stage(true, {"", {10, 5}, error});
         auto ends = stage.connected(200);
         Poller poller(stage.kernel(), {10, 5});
-        for (std::size_t i = 0; i < ends.size(); ++i) {
-            poller.watch(ends[i].near.get(), POLLIN, 1);
+        for (const Stage::Ends& one : ends) {
+            poller.watch(one.near.get(), POLLIN, 1);
             poller.wait(0);
         }
         CHECK_FALSE(poller.uses_interest_list());
--- a/tests/net/stage.cpp
+++ b/tests/net/stage.cpp
@@ -109,7 +109,7 @@
 
 std::string Stage::far_receive(int fd) {
     std::string all;
-    std::array<char, 65536> bytes;
+    std::array<char, 65536> bytes{};
     while (true) {
         const ssize_t got = far_->receive(fd, bytes.data(), bytes.size());
         if (got <= 0) return all;
@@ -140,7 +140,7 @@
 
 std::string Watched::take() {
     std::string all;
-    std::array<char, 4096> bytes;
+    std::array<char, 4096> bytes{};
     while (true) {
         const ssize_t got = loop_.kernel().receive(fd(), bytes.data(), bytes.size());
         if (got <= 0) return all;
--- a/tests/net/stage.h
+++ b/tests/net/stage.h
@@ -75,7 +75,7 @@
 void on_every_stage(const std::function<void(Stage&)>& body);
 
 // A descriptor on the loop, with a function that is called when it is ready.
-class Watched : public Ready {
+class Watched final : public Ready {
 public:
     Watched(Loop& loop, Fd fd, std::function<void(Watched&, short)> told)
         : loop_(loop), fd_(std::move(fd)), told_(std::move(told)) {}
--- a/tests/unit/connection_ranking_test.cpp
+++ b/tests/unit/connection_ranking_test.cpp
@@ -45,6 +45,7 @@
     std::stable_sort(rested.begin(), rested.end(),
                      [](const Rank& a, const Rank& b) { return a.used < b.used; });
     std::vector<Number> numbers;
+    numbers.reserve(rested.size());
     for (const Rank& one : rested) numbers.push_back(one.number);
     return numbers;
 }
