--- a/tests/lab/scale_test.cpp
+++ b/tests/lab/scale_test.cpp
@@ -41,6 +41,7 @@
     ScaleWorld world(plan, {JASPERSPREAD_SOUND, JASPERSPREAD_HOLLOW, folder.path});
     const ScaleOutcome outcome = play_scale(world);
     const Result result = scale_figures(world, outcome);
+    for (const std::string& violation : result.violations) MESSAGE(violation);
     CHECK_EQ(result.violations, std::vector<std::string>{});
     for (const SceneOutcome& scene : outcome.scenes) {
         INFO(scene.name);
