Run the small scale run under the sanitizers again, all but its bound on memory

Cause: read once more, the whole case had been left out of the sanitizers' run for one bound that the sanitizers' own memory breaks (97 MB where 64 are allowed), and with it the restarts, cuts and threads that they should see. Change: it runs there, and passes over that one bound alone; the run without the sanitizers holds it as before.

--- a/tests/lab/scale_test.cpp
+++ b/tests/lab/scale_test.cpp
@@ -41,8 +41,15 @@
     ScaleWorld world(plan, {JASPERSPREAD_SOUND, JASPERSPREAD_HOLLOW, folder.path});
     const ScaleOutcome outcome = play_scale(world);
     const Result result = scale_figures(world, outcome);
-    for (const std::string& violation : result.violations) MESSAGE(violation);
-    CHECK_EQ(result.violations, std::vector<std::string>{});
+    std::vector<std::string> violations = result.violations;
+#if defined(__SANITIZE_ADDRESS__)
+    // The sanitizers' own memory is not the agent's; the bound on memory is held by the run without them.
+    std::erase_if(violations, [](const std::string& violation) {
+        return violation.starts_with("missed: control_memory_mb_max is ");
+    });
+#endif
+    for (const std::string& violation : violations) MESSAGE(violation);
+    CHECK_EQ(violations, std::vector<std::string>{});
     for (const SceneOutcome& scene : outcome.scenes) {
         INFO(scene.name);
         CHECK(scene.agreed);
