Log each connection to a server, and why sessions are ended from here

Each connection has a number now, with a line of level debug as it comes up, is closed from here, ends or is not opened, and why; sessions_over (info) says how many sessions of which server were ended, and on what ground; session_taken_over names those handed in. Behaviour is unchanged.

--- a/src/agent/server_connections.cpp
+++ b/src/agent/server_connections.cpp
@@ -27,8 +27,9 @@
 
 // ---- One connection ----
 
-ServerConnections::Link::Link(ServerConnections& all, ServerNumber number, const net::Address& address)
-    : server(number),
+ServerConnections::Link::Link(ServerConnections& all, ServerNumber at_server, const net::Address& address)
+    : server(at_server),
+      number(++all.opened_),
       used(all.loop_.now()),
       all_(all),
       patience_(all.loop_),
@@ -38,6 +39,7 @@
     Server& at = all_.server(server);
     at.heard = used = all_.loop_.now();
     at.vain = 0;
+    all_.note("server_connection_up", *this, "");
     for (const std::string& text : std::exchange(at.words, {})) connection.send(text);
     all_.user_.link_up(*this);
 }
@@ -68,7 +70,10 @@
 }
 
 void ServerConnections::Link::break_off(const std::string& why) {
-    all_.log_.warn("server_unreadable", {{"server", std::to_string(server)}, {"why", why}});
+    all_.log_.warn("server_unreadable", {{"server", std::to_string(server)},
+                                         {"connection", std::to_string(number)},
+                                         {"sessions", std::to_string(sessions.size())},
+                                         {"why", why}});
     patience_.cancel();
     connection.close();
     all_.ended(*this, Connection::End::Reset);
@@ -139,7 +144,7 @@
         }
     }
     if (oldest == nullptr) return false;
-    log_.debug("server_connection_closed", {{"why", "room for one that is needed"}});
+    note("server_connection_closing", *oldest, "room for one that is needed");
     oldest->connection.close();
     ended(*oldest, Connection::End::Finished);
     return true;
@@ -148,7 +153,15 @@
 ServerConnections::Link* ServerConnections::open(ServerNumber number, Need need) {
     const KnownServer* known = directory_.find(number);
     Server& at = server(number);
-    if (known == nullptr || at.links.size() >= links_per_server || !has_room(need)) return nullptr;
+    if (known == nullptr || at.links.size() >= links_per_server || !has_room(need)) {
+        if (log_.wants(Level::Debug)) {
+            const char* why = known == nullptr                      ? "not listed"
+                              : at.links.size() >= links_per_server ? "as many as may be to this server"
+                                                                    : "as many as may be to all servers";
+            log_.debug("server_connection_not_opened", {{"server", std::to_string(number)}, {"why", why}});
+        }
+        return nullptr;
+    }
     at.links.push_back(std::make_shared<Link>(*this, number, known->address));
     ++links_;
     watch(number);
@@ -217,6 +230,7 @@
         const bool needed = !link->sessions.empty() || (staying == 1 && user_.stands(number));
         if (link->leaving || needed || !link->connection.is_open()) continue;
         if (limits_.conn_idle <= 0 || now < link->used + idle_part * limits_.conn_idle) continue;
+        note("server_connection_closing", *link, "idle");
         link->leaving = true;
         --staying;
         link->connection.finish();
@@ -243,6 +257,7 @@
     const auto self = std::find_if(at.links.begin(), at.links.end(),
                                    [&](const auto& other) { return other.get() == &link; });
     if (self == at.links.end()) return;
+    note("server_connection_ended", link, name_of(why));
     loop_.retire(*self);
     at.links.erase(self);
     --links_;
@@ -259,10 +274,19 @@
     watch(number);
 }
 
+void ServerConnections::note(std::string_view event, const Link& link, std::string_view why) {
+    if (!log_.wants(Level::Debug)) return;
+    log_.debug(event, {{"server", std::to_string(link.server)},
+                       {"connection", std::to_string(link.number)},
+                       {"sessions", std::to_string(link.sessions.size())},
+                       {"why", std::string(why)}});
+}
+
 void ServerConnections::close_idle(ServerNumber number) {
     if (user_.stands(number)) return;
     for (const auto& link : server(number).links) {
         if (!link->sessions.empty() || !link->connection.is_open()) continue;
+        note("server_connection_closing", *link, "the module wants no idle ones");
         link->leaving = true;
         link->connection.finish();
     }
--- a/src/agent/server_connections.h
+++ b/src/agent/server_connections.h
@@ -2,11 +2,13 @@
 // they rest, with what is to be said on the next one. What is on them is their user's business.
 #pragma once
 
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "agent/directory.h"
@@ -78,6 +80,7 @@
     void look_after(ServerNumber number);
     bool quiet(const Server& at) const;
     void ended(Link& link, net::Connection::End why);
+    void note(std::string_view event, const Link& link, std::string_view why);
 
     net::Loop& loop_;
     net::BufferPool& pool_;
@@ -87,6 +90,7 @@
     const LinkLimits limits_;
     std::map<ServerNumber, Server> servers_;
     std::size_t links_ = 0;
+    std::uint64_t opened_ = 0;  // since the start
 };
 
 // One connection to a server.
@@ -100,6 +104,7 @@
     void ended(net::Connection&, net::Connection::End why) override { all_.ended(*this, why); }
 
     const ServerNumber server;
+    const std::uint64_t number;    // from 1, of this process
     std::deque<SessionId> queue;   // set-ups not yet written
     std::set<SessionId> sessions;  // set-ups and sessions that were set up here
     double used;                   // last traffic
--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -52,6 +52,11 @@
         const auto it = entries_.find(id);
         if (it != entries_.end()) it->second.link = nullptr;
     }
+    if (process != Process::Unknown && stands(number))
+        log_.info("sessions_over",
+                  {{"server", std::to_string(number)},
+                   {"sessions", std::to_string(servers_[number].standing.size())},
+                   {"why", process == Process::Gone ? "its process is gone" : "it is silent"}});
     if (process == Process::Gone) events_.process_gone(number);
     if (process != Process::Unknown) all_over(number);
     for (const SessionId id : sessions) {
@@ -98,6 +103,9 @@
             cut.push_back(id);
         }
     }
+    if (!cut.empty())
+        log_.info("sessions_over", {{"sessions", std::to_string(cut.size())},
+                                    {"why", "the list tells that their server has gone or started anew"}});
     for (const SessionId id : unsent) attempt_over(id, Ending::Unused, {});
     for (const SessionId id : cut) {
         const auto it = entries_.find(id);
--- a/src/agent/session_table.cpp
+++ b/src/agent/session_table.cpp
@@ -95,6 +95,9 @@
         session.out = true;
         session.attempts = 1;
         session.server = *server;
+        if (log_.wants(Level::Debug))
+            log_.debug("session_taken_over",
+                       {{"session", codec::to_hex(id)}, {"server", std::to_string(*server)}});
         tell(cinderfront::TakenOver{set_up.request, *server});
         servers_->adopt(id, *server);
         return;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -202,4 +202,26 @@
     out_.clear();
 }
 
+const char* name_of(Connection::End why) {
+    switch (why) {
+        case Connection::End::Refused:
+            return "refused";
+        case Connection::End::Unavailable:
+            return "unavailable";
+        case Connection::End::TimedOut:
+            return "timed_out";
+        case Connection::End::PeerClosed:
+            return "peer_closed";
+        case Connection::End::Reset:
+            return "reset";
+        case Connection::End::Overflow:
+            return "overflow";
+        case Connection::End::Stalled:
+            return "stalled";
+        case Connection::End::Finished:
+            return "finished";
+    }
+    return "unknown";
+}
+
 }  // namespace jasperspread::net
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -84,4 +84,6 @@
     Timer stall_;
 };
 
+const char* name_of(Connection::End why);  // for logs
+
 }  // namespace jasperspread::net
