--- a/tests/scenarios/scenario.cpp
+++ b/tests/scenarios/scenario.cpp
@@ -262,6 +262,13 @@
         }
         return *last;
     }
+    // One that has not been accepted so far; what is sent next goes on it.
+    void expect_connection(double within_s) {
+        const std::size_t known = wires.size();
+        if (!wait(unix_now() + within_s, [&](Wire&) { return wires.size() > known; }))
+            throw Wrong("no connection came");
+        last = wires.back().get();
+    }
     void drop(bool hard) {
         for (const auto& wire : wires) hard ? wire->reset() : wire->fd.reset();
         wires.clear();
@@ -553,6 +560,10 @@
         if (verb == "deaf") return server.go_deaf();
         if (verb == "hear") return server.hear_again();
         if (verb == "send") return server.talking().write(server_bytes(rest));
+        if (verb == "expect" && rest.at(0) == "connection") {
+            const bool is_bounded = rest.size() > 1;
+            return server.expect_connection(is_bounded ? std::stod(rest[1]) : patience_s);
+        }
         expect(rest, [&](double by, auto found) { return server.wait(by, found); }, codec::decode_server,
                {"FINISHED"});
     }
--- /dev/null
+++ b/tests/scenarios/silent_server_test.cpp
@@ -0,0 +1,115 @@
+// Servers whose connections stay open and silent: sessions end in time, and their releases arrive.
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "scenario.h"
+
+using scenario::play;
+
+namespace {
+
+std::string stands(int session, const std::string& server, const std::string& fields = "") {
+    const std::string id = std::to_string(session);
+    return "v1 send setup " + id + " " + fields + "\n" + server + " expect START " + id + "\n" + server +
+           " send STARTED " + id + "\nv1 expect answer " + id + "\n";
+}
+
+}  // namespace
+
+TEST_CASE("silent server: its sessions end though its new connections come up") {
+    CHECK_EQ(play(R"(
+        agent send start told=0.3
+        stands 5
+        v1 expect release 5 cause=41
+    )"),
+             "");
+}
+
+TEST_CASE("silent server without notes: its sessions end though its new connections come up") {
+    CHECK_EQ(play(R"(
+        agent send start
+        stands 5
+        v1 expect release 5 cause=41
+    )"),
+             "");
+}
+
+TEST_CASE("silent server: it is told of the sessions' end once it speaks again") {
+    CHECK_EQ(play(R"(
+        agent send start told=0.3
+        stands 5
+        v1 expect release 5 cause=41
+        s1 close                               # what was written to it so far is lost
+        s1 expect FINISH 5 rc=31
+    )"),
+             "");
+}
+
+TEST_CASE("vanished server without notes: its sessions end") {
+    CHECK_EQ(play(R"(
+        agent send start
+        stands 5
+        s1 deaf
+        v1 expect release 5 cause=41
+    )"),
+             "");
+}
+
+TEST_CASE("forgotten idle connection: a new one brings the release of its session") {
+    CHECK_EQ(play(R"(
+        agent send start idle=1.5
+        stands 5
+        s1 expect connection                   # s1 has forgotten the first one and says nothing on it
+        s1 send FINISH 5 rc=16
+        v1 expect release 5 cause=16
+    )"),
+             "");
+}
+
+TEST_CASE("silent connection beside one that speaks: a new one brings the release of its session") {
+    std::string lines = "agent send start told=0.3 streams=1\nstands 5\n" + stands(6, "s1");
+    for (int i = 0; i < 20; ++i) lines += "s1 send NOTICE 6 note=local value=0.1\nwait 0.4\n";
+    CHECK_EQ(play(lines + R"(
+        s1 expect connection 0.5               # it has come while s1 spoke on the other one
+        s1 send FINISH 5 rc=16
+        v1 expect release 5 cause=16
+    )"),
+             "");
+}
+
+TEST_CASE("silent connection where no further one may be opened: a new one takes its place") {
+    std::string lines = "agent send start sockets=32 told=0.3\n";  // four connections to servers
+    for (int i = 1; i <= 4; ++i)
+        lines += stands(i, "s" + std::to_string(i), "home=" + std::to_string(i - 1) + " copies=1");
+    CHECK_EQ(play(lines + R"(
+        s1 expect connection
+        s1 send FINISH 1 rc=16
+        v1 expect release 1 cause=16
+    )"),
+             "");
+}
+
+TEST_CASE("silent connections up to the most to one server: a new one takes the place of one") {
+    std::string lines = "agent send start told=0.3 streams=1\n";
+    for (int i = 1; i <= 6; ++i) lines += stands(i, "s1", "home=0 copies=1");
+    CHECK_EQ(play(lines + R"(
+        s1 expect connection
+        s1 send FINISH 1 rc=16
+        v1 expect release 1 cause=16
+    )"),
+             "");
+}
+
+TEST_CASE("release written to a connection that breaks unread: it is sent on the next one") {
+    CHECK_EQ(play(R"(
+        agent send start
+        stands 5
+        s1 close
+        v1 send release 5 cause=16
+        s1 expect connection
+        s1 reset
+        s1 expect FINISH 5
+    )"),
+             "");
+}
