Take a connect that was reset for what it is, not for a refusal

Callers: sessions at a live server ended all at once, and the server never heard of it. Cause: whatever error ended a connect but ETIMEDOUT counted as refused. A connection that the server accepted and reset before the loop had looked (ECONNRESET) then proved its process gone, and with it all releases that waited. Only ECONNREFUSED is a refusal now; a reset is a reset, and no way to the machine counts as a connect that timed out. What had not gone out is still told as a failed connect.

--- a/src/agent/server_connections.cpp
+++ b/src/agent/server_connections.cpp
@@ -37,6 +37,7 @@
 
 void ServerConnections::Link::opened(Connection&) {
     Server& at = all_.server(server);
+    came_up = true;
     at.heard = used = all_.loop_.now();
     at.vain = 0;
     all_.note("server_connection_up", *this, "");
--- a/src/agent/server_connections.h
+++ b/src/agent/server_connections.h
@@ -108,7 +108,8 @@
     std::deque<SessionId> queue;   // set-ups not yet written
     std::set<SessionId> sessions;  // set-ups and sessions that were set up here
     double used;                   // last traffic
-    bool leaving = false;          // being closed from here
+    bool came_up = false;
+    bool leaving = false;  // being closed from here
 
 private:
     void break_off(const std::string& why);
--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -44,8 +44,6 @@
     const ServerNumber number = link.server;
     if (why == Connection::End::Reset || why == Connection::End::PeerClosed)
         servers_[number].broken_at = loop_.now();
-    const bool never_up = why == Connection::End::Refused || why == Connection::End::TimedOut ||
-                          why == Connection::End::Unavailable;
     link.queue.clear();
     const std::set<SessionId> sessions = std::exchange(link.sessions, {});
     for (const SessionId id : sessions) {
@@ -66,7 +64,7 @@
         const State state = it->second.state;
         if (state == State::Written) {
             attempt_over(id, Ending::Dropped, {});
-        } else if (state == State::Queued && never_up) {
+        } else if (state == State::Queued && !link.came_up) {
             // That no descriptor was left here says nothing of the server.
             attempt_over(id, why == Connection::End::Unavailable ? Ending::Unused : Ending::DialFailed, {});
         } else if (state == State::Queued) {
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -11,6 +11,13 @@
 constexpr std::size_t most_kept = 16;  // buffers of output: 256 KiB
 constexpr int reads_a_turn = 4;        // so that one busy peer can't starve the others
 constexpr double stall_s = 10, finish_s = 1;
+
+// Only a refusal proves that nobody listens; whatever else ends a connect says less.
+Connection::End end_of_connect(int error) {
+    if (error == ECONNREFUSED) return Connection::End::Refused;
+    return error == ECONNRESET ? Connection::End::Reset : Connection::End::TimedOut;
+}
+
 }  // namespace
 
 Connection::Connection(Loop& loop, BufferPool& pool, Owner& owner, Fd accepted)
@@ -48,7 +55,7 @@
 
 void Connection::connected() {
     const int error = loop_.kernel().connect_error(fd_.get());
-    if (error != 0) return end(error == ETIMEDOUT ? End::TimedOut : End::Refused);
+    if (error != 0) return end(end_of_connect(error));
     timer_.cancel();
     state_ = State::Open;
     watch();
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -15,9 +15,9 @@
     enum class End {
         Refused,      // never came up, and the peer said so
         Unavailable,  // never came up: no descriptor or port was left here
-        TimedOut,     // never came up in time
+        TimedOut,     // never came up in time, or there is no way to the peer
         PeerClosed,   // the peer has closed it in order
-        Reset,        // broken
+        Reset,        // broken, perhaps before the owner heard that it had come up
         Overflow,     // the peer does not read, and the output bound is reached
         Stalled,      // the peer has read nothing for too long
         Finished,     // closed from here by finish()
--- a/tests/net/counting_kernel.h
+++ b/tests/net/counting_kernel.h
@@ -28,6 +28,7 @@
     Counts counts;
     int refuse_lists = 0;               // the error that asking for an interest list gets; 0: it is passed on
     int refuse_adds = 0;                // the same for adding to one
+    int fail_connects = 0;              // the error that connects end with, though they came up
     std::function<void()> during_wait;  // called once, in the next wait, which then finds nothing
 
     double now() override { return inner_.now(); }
@@ -67,7 +68,9 @@
     int accept(int fd) override { return other().accept(fd); }
     int open_stream() override { return other().open_stream(); }
     int connect(int fd, const Address& to) override { return other().connect(fd, to); }
-    int connect_error(int fd) override { return other().connect_error(fd); }
+    int connect_error(int fd) override {
+        return fail_connects != 0 ? fail_connects : other().connect_error(fd);
+    }
     Address local_address(int fd) override { return other().local_address(fd); }
     Address peer_address(int fd) override { return other().peer_address(fd); }
     ssize_t receive(int fd, char* bytes, std::size_t room) override {
