Send a session's release to its server again until that acknowledges it

Callers: a session that its viewer had left, or that the agent had ended, stood on at its server. Cause: a release was written to whatever connection seemed open, or kept for the next one, and forgotten as it was written; a connection that broke or was dead before it was read took it along. Releases wait in a RetransmitQueue for each server until FINISHED or FINISH comes back, and go out again on the next or another connection, for 30 s at most; a server that has some waiting gets a connection. On the same connection nothing is said twice. Class: written taken for read.

--- a/src/agent/retransmit_queue.h
+++ b/src/agent/retransmit_queue.h
@@ -1,4 +1,4 @@
-// Messages to viewers that are sent again until they are acknowledged, on one connection or another. It only
+// Messages on sessions that are sent again until they are acknowledged, on one connection or another. It only
 // keeps the books: who sends, and where, is its owner's business. Times are Unix times in seconds, passed in.
 // No operation looks at more messages than it returns or changes.
 #pragma once
--- a/src/agent/server_connections.cpp
+++ b/src/agent/server_connections.cpp
@@ -21,7 +21,11 @@
 constexpr double quiet_slack_s = 0.7;  // over the time in which a server with sessions should have spoken
 // A line must be whole so long after its first bytes, s: one that stops short is not an answer that is late.
 constexpr double whole_within_s = 0.5;
-constexpr int vain_connects = 2;  // that time out in a row before a silent machine counts as gone
+// A release is sent again on another connection after the first pause, which doubles; no longer than the
+// server may hang or be cut off.
+constexpr RetransmitQueue::Times release_times{30, 1};
+constexpr std::size_t most_releases = 1024;  // of one server
+constexpr int vain_connects = 2;             // that time out in a row before a silent machine counts as gone
 
 }  // namespace
 
@@ -42,6 +46,7 @@
     at.vain = 0;
     all_.note("server_connection_up", *this, "");
     for (const std::string& text : std::exchange(at.words, {})) connection.send(text);
+    all_.send_releases(server, *this);
     all_.user_.link_up(*this);
 }
 
@@ -94,20 +99,25 @@
 
 void ServerConnections::drop_words(ServerNumber number) {
     server(number).words.clear();
+    server(number).releases.reset();
     server(number).vain = 0;
 }
 
 bool ServerConnections::holds(ServerNumber number) {
     const auto it = servers_.find(number);
     if (it == servers_.end()) return false;
-    if (!it->second.links.empty() || !it->second.words.empty()) return true;
+    if (!it->second.links.empty() || !it->second.words.empty() || it->second.releases) return true;
     servers_.erase(it);
     return false;
 }
 
+bool ServerConnections::needs_connection(ServerNumber number, const Server& at) const {
+    return user_.stands(number) || !at.words.empty() || at.releases;
+}
+
 // Whether a server needs a connection that is not there: it could tell of no end.
 bool ServerConnections::is_owed(ServerNumber number, const Server& at) const {
-    if (!user_.stands(number) && at.words.empty()) return false;
+    if (!needs_connection(number, at)) return false;
     return std::all_of(at.links.begin(), at.links.end(), [](const auto& link) { return link->leaving; });
 }
 
@@ -191,6 +201,13 @@
     return any;
 }
 
+ServerConnections::Link* ServerConnections::other_talking(Server& at, std::uint64_t not_this) {
+    for (const auto& link : at.links) {
+        if (link->connection.is_open() && !link->leaving && link->number != not_this) return link.get();
+    }
+    return nullptr;
+}
+
 // Sends a message on a session by its own connection, another one there, or the next one.
 void ServerConnections::speak(ServerNumber number, const Link* preferred,
                               const codec::ServerMessage& message) {
@@ -205,6 +222,44 @@
     keep(number);
 }
 
+void ServerConnections::release(ServerNumber number, const Link* preferred,
+                                const codec::ServerMessage& message) {
+    Server& at = server(number);
+    if (!at.releases) at.releases = std::make_unique<RetransmitQueue>(release_times);
+    if (at.releases->size() < most_releases) at.releases->add(message.session, encode(message), loop_.now());
+    if (Link* link = talking(at, preferred)) return send_releases(number, *link);
+    keep(number);
+}
+
+void ServerConnections::release_acknowledged(ServerNumber number, SessionId id) {
+    Server& at = server(number);
+    if (!at.releases || !at.releases->acknowledge(id)) return;
+    if (at.releases->empty()) at.releases.reset();
+}
+
+// Those that are due, on this connection.
+void ServerConnections::send_releases(ServerNumber number, Link& link) {
+    Server& at = server(number);
+    if (!at.releases) return;
+    for (const SessionId id : at.releases->due(loop_.now())) {
+        if (at.releases->sent_on(id) == link.number) continue;
+        link.used = loop_.now();
+        link.connection.send(at.releases->send(id, link.number, loop_.now()));
+    }
+}
+
+// A connection on which a release was sent may have broken, or be silent, before it was read.
+void ServerConnections::retransmit_releases(ServerNumber number) {
+    Server& at = server(number);
+    if (!at.releases) return;
+    at.releases->drop_expired(loop_.now());
+    if (at.releases->empty()) return at.releases.reset();
+    for (const SessionId id : at.releases->due(loop_.now())) {
+        if (Link* link = other_talking(at, at.releases->sent_on(id)))
+            link->connection.send(at.releases->send(id, link->number, loop_.now()));
+    }
+}
+
 void ServerConnections::keep(ServerNumber number) {
     const bool has = std::any_of(server(number).links.begin(), server(number).links.end(),
                                  [](const auto& link) { return !link->leaving; });
@@ -236,14 +291,15 @@
         --staying;
         link->connection.finish();
     }
-    if (user_.stands(number) || !at.words.empty()) {
+    retransmit_releases(number);
+    if (needs_connection(number, at)) {
         keep(number);
         const bool connecting = std::any_of(at.links.begin(), at.links.end(), [](const auto& link) {
             return !link->leaving && !link->connection.is_open();
         });
         if (quiet(at) && !connecting) open(number, Need::Keep);
     }
-    if (!at.links.empty() || user_.stands(number) || !at.words.empty()) watch(number);
+    if (!at.links.empty() || needs_connection(number, at)) watch(number);
 }
 
 // Nothing came for longer than a server with sessions is silent.
@@ -265,6 +321,7 @@
     // A server at its cap of connections refuses too, but keeps those that it has; one that has left the list
     // and refuses is gone, though it may not have closed them, and so is one that broke its last one: another
     // server may have its address by the time of the next connect.
+    if (at.releases) at.releases->connection_lost(link.number, loop_.now());
     const KnownServer* known = directory_.find(number);
     const bool left = known == nullptr || known->entry.state == cinderfront::ServerState::Gone;
     const bool broken = why == Connection::End::Reset || why == Connection::End::PeerClosed;
--- a/src/agent/server_connections.h
+++ b/src/agent/server_connections.h
@@ -13,6 +13,7 @@
 
 #include "agent/directory.h"
 #include "agent/log.h"
+#include "agent/retransmit_queue.h"
 #include "agent/seam.h"
 #include "codec/server_codec.h"
 #include "net/buffer_pool.h"
@@ -52,20 +53,25 @@
     Link* for_set_up(ServerNumber number);  // null: there is none to be had
     // Says it on this connection, on another one there, or on the next one.
     void speak(ServerNumber number, const Link* preferred, const codec::ServerMessage& message);
+    // The same for the release of a session, which is sent again on further connections until it is
+    // acknowledged or too old.
+    void release(ServerNumber number, const Link* preferred, const codec::ServerMessage& message);
+    void release_acknowledged(ServerNumber number, SessionId id);
     void keep(ServerNumber number);   // one at least, as long as something stands there
     void heard(ServerNumber number);  // as if it had spoken now
     bool talks(ServerNumber number) { return talking(server(number), nullptr) != nullptr; }
-    void drop_words(ServerNumber number);
+    void drop_words(ServerNumber number);  // releases too
     void close_idle(ServerNumber number);
-    // Whether a connection is there, or a word that waits for one. What is known of a server without goes.
+    // Whether a connection is there, or a message that waits for one. What is known of a server without goes.
     bool holds(ServerNumber number);
 
 private:
     struct Server {
         std::vector<std::shared_ptr<Link>> links;
-        std::vector<std::string> words;  // messages on sessions that wait for a connection
-        double heard = 0;                // something came from there, or a connection came up
-        int vain = 0;                    // connections that timed out since
+        std::vector<std::string> words;             // messages on sessions that wait for a connection
+        double heard = 0;                           // something came from there, or a connection came up
+        int vain = 0;                               // connections that timed out since
+        std::unique_ptr<RetransmitQueue> releases;  // not acknowledged; null: none
         std::unique_ptr<net::Timer> watch;
     };
     Server& server(ServerNumber number);
@@ -74,6 +80,10 @@
     bool has_room(Need need);
     bool close_resting();
     bool is_owed(ServerNumber number, const Server& at) const;
+    bool needs_connection(ServerNumber number, const Server& at) const;
+    Link* other_talking(Server& at, std::uint64_t not_this);
+    void send_releases(ServerNumber number, Link& link);
+    void retransmit_releases(ServerNumber number);
     std::size_t owed() const;
     Link* talking(Server& at, const Link* preferred);
     void watch(ServerNumber number);
--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -117,7 +117,7 @@
 // Whoever has the server's address now may have taken the set-up before the list told of it.
 void ServerLinks::release_where_connected(const Attempt& attempt) {
     if (connections_.talks(attempt.server))
-        connections_.speak(attempt.server, nullptr, word(ServerVerb::Finish, attempt.id, cause_cancelled));
+        connections_.release(attempt.server, nullptr, word(ServerVerb::Finish, attempt.id, cause_cancelled));
 }
 
 // Sessions that have stood since before this time can't be held by the server any more: a process that
@@ -249,7 +249,7 @@
     erase(id);
     if (entry.state == State::Queued)
         return connecting ? AttemptProgress::Connecting : AttemptProgress::Queued;
-    connections_.speak(entry.attempt.server, entry.link, word(ServerVerb::Finish, id, cause_ok));
+    connections_.release(entry.attempt.server, entry.link, word(ServerVerb::Finish, id, cause_ok));
     return AttemptProgress::Sent;
 }
 
@@ -270,7 +270,7 @@
     erase(id);
     ServerMessage message = word(ServerVerb::Finish, id, cause_cancelled);
     if (entry.epoch > 0) message.fields["epoch"] = std::to_string(entry.epoch);
-    connections_.speak(entry.attempt.server, entry.link, message);
+    connections_.release(entry.attempt.server, entry.link, message);
 }
 
 void ServerLinks::adopt(SessionId id, ServerNumber number) {
@@ -296,13 +296,17 @@
             if (entry == nullptr) {
                 events_.answered_late(id, link.server);
                 // It crossed our giving up: what now stands there is released, not passed on.
-                link.connection.send(encode(word(ServerVerb::Finish, id, cause_ok)));
+                connections_.release(link.server, &link, word(ServerVerb::Finish, id, cause_ok));
             } else if (entry->state == State::Written) {
                 set_state(id, *entry, State::Standing);
                 events_.started(id, message.description.value_or(""));
             }
             break;
+        case ServerVerb::Finished:
+            connections_.release_acknowledged(link.server, id);
+            break;
         case ServerVerb::Finish: {
+            connections_.release_acknowledged(link.server, id);
             link.connection.send(encode(word(ServerVerb::Finished, id)));
             // What a server says of a session's earlier stay there, before it was handed on, is old.
             const std::uint64_t epoch = whole(message.field("epoch"));
@@ -335,7 +339,7 @@
         case ServerVerb::Echoed:
             probe_over(id, message.cause == 1 ? Ending::Delivered : Ending::AppError, load_of(message));
             break;
-        default:  // progress, a release heard, or a word of a later version
+        default:  // progress, or a message of a later version
             break;
     }
 }
