Replace a connection to a server that is silent while sessions stand on it

Cause: an open connection was trusted for ever while sessions stood on it. It was kept past the time after which the server forgets an idle one; silence was judged by server, so that one connection that spoke hid another that did not; without notes nothing counted as silence at all, connects that time out neither; and where no further connection might be opened (bound of all, six to a server) the silent ones kept their places. A server sends its releases on the next connection that is opened, which never came. What is still red is a server whose new connections come up and say nothing. Class: open taken for alive.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -43,6 +43,7 @@
     limits.connections = config_.descriptors - kept;
     limits.note_every = profile.settings.told_every;
     limits.note_late = profile.settings.told_late;
+    limits.can_probe = profile.settings.can_probe;
     return limits;
 }
 
--- a/src/agent/server_connections.cpp
+++ b/src/agent/server_connections.cpp
@@ -18,7 +18,6 @@
 constexpr double look_every_s = 0.25;
 // A connection must have rested so long before it makes room: what was said last on it has been read by then.
 constexpr double rested_s = 0.25;
-constexpr double quiet_slack_s = 0.7;  // over the time in which a server with sessions should have spoken
 // A line must be whole so long after its first bytes, s: one that stops short is not an answer that is late.
 constexpr double whole_within_s = 0.5;
 // A release is sent again on another connection after the first pause, which doubles; no longer than the
@@ -35,6 +34,7 @@
     : server(at_server),
       number(++all.opened_),
       used(all.loop_.now()),
+      heard(used),
       all_(all),
       patience_(all.loop_),
       connection(all.loop_, all.pool_, *this, address, all.limits_.connect_timeout, net::Order::Late) {}
@@ -42,8 +42,9 @@
 void ServerConnections::Link::opened(Connection&) {
     Server& at = all_.server(server);
     came_up = true;
-    at.heard = used = all_.loop_.now();
+    at.heard = heard = used = all_.loop_.now();
     at.vain = 0;
+    at.wants_new = false;
     all_.note("server_connection_up", *this, "");
     for (const std::string& text : std::exchange(at.words, {})) connection.send(text);
     all_.send_releases(server, *this);
@@ -53,8 +54,9 @@
 std::size_t ServerConnections::Link::received(Connection&, std::string_view bytes) {
     std::size_t taken = 0;
     Server& at = all_.server(server);
-    at.heard = used = all_.loop_.now();
+    at.heard = heard = used = all_.loop_.now();
     at.vain = 0;
+    avoided = false;
     try {
         while (true) {  // also while it is being closed from here: a release may be among it
             const auto decoded = codec::decode_server(bytes.substr(taken));
@@ -118,6 +120,7 @@
 // Whether a server needs a connection that is not there: it could tell of no end.
 bool ServerConnections::is_owed(ServerNumber number, const Server& at) const {
     if (!needs_connection(number, at)) return false;
+    if (at.wants_new) return true;
     return std::all_of(at.links.begin(), at.links.end(), [](const auto& link) { return link->leaving; });
 }
 
@@ -155,9 +158,7 @@
         }
     }
     if (oldest == nullptr) return false;
-    note("server_connection_closing", *oldest, "room for one that is needed");
-    oldest->connection.close();
-    ended(*oldest, Connection::End::Finished);
+    close_now(*oldest, "room for one that is needed");
     return true;
 }
 
@@ -183,7 +184,7 @@
     const double stale = loop_.now() - stale_part * limits_.conn_idle;
     Link* best = nullptr;
     for (const auto& link : server(number).links) {
-        if (link->leaving || link->sessions.size() >= limits_.streams_per_conn) continue;
+        if (link->leaving || link->avoided || link->sessions.size() >= limits_.streams_per_conn) continue;
         if (limits_.conn_idle > 0 && link->used < stale) continue;
         const bool better = best == nullptr || (link->connection.is_open() && !best->connection.is_open());
         if (better) best = link.get();
@@ -261,9 +262,10 @@
 }
 
 void ServerConnections::keep(ServerNumber number) {
-    const bool has = std::any_of(server(number).links.begin(), server(number).links.end(),
-                                 [](const auto& link) { return !link->leaving; });
-    if (!has) open(number, Need::Keep);
+    Server& at = server(number);
+    const bool has =
+        std::any_of(at.links.begin(), at.links.end(), [](const auto& link) { return !link->leaving; });
+    if (!has || at.wants_new) open_wanted(number);
     watch(number);
 }
 
@@ -274,10 +276,18 @@
     }
 }
 
-// Closes what nothing needs, and sees to a connection while sessions stand or words wait. A machine that has
-// vanished says nothing on its open connections: where notes stay out, a new connection tells whether it is
-// there, as a frozen process still gets its connections accepted.
+// Sees to a connection while sessions stand or messages wait.
 void ServerConnections::look_after(ServerNumber number) {
+    Server& at = server(number);
+    close_rested(number);
+    retransmit_releases(number);
+    if (user_.stands(number)) replace_silent(number);
+    if (needs_connection(number, at)) keep(number);
+    if (!at.links.empty() || needs_connection(number, at)) watch(number);
+}
+
+// Closes what nothing needs.
+void ServerConnections::close_rested(ServerNumber number) {
     Server& at = server(number);
     const double now = loop_.now();
     std::size_t staying = 0;
@@ -291,21 +301,55 @@
         --staying;
         link->connection.finish();
     }
-    retransmit_releases(number);
-    if (needs_connection(number, at)) {
-        keep(number);
-        const bool connecting = std::any_of(at.links.begin(), at.links.end(), [](const auto& link) {
-            return !link->leaving && !link->connection.is_open();
-        });
-        if (quiet(at) && !connecting) open(number, Need::Keep);
-    }
-    if (!at.links.empty() || needs_connection(number, at)) watch(number);
 }
 
 // Nothing came for longer than a server with sessions is silent.
 bool ServerConnections::quiet(const Server& at) const {
-    const double longest = limits_.note_every + limits_.note_late + quiet_slack_s;
-    return limits_.note_every > 0 && loop_.now() > at.heard + longest;
+    return loop_.now() > at.heard + silence_.vanished_after;
+}
+
+// Where nothing else brings it what it needs: that may be silent, or have been forgotten by the server.
+bool ServerConnections::is_silent(const Server& at, const Link& link) const {
+    if (!link.connection.is_open() || link.leaving) return false;
+    const auto staying =
+        std::count_if(at.links.begin(), at.links.end(), [](const auto& other) { return !other->leaving; });
+    if (link.sessions.empty() && staying > 1) return false;
+    const double now = loop_.now();
+    const bool rests = now > link.used + silence_.idle_after && !user_.waits_for_answer(link);
+    return rests || now > link.heard + silence_.replace_after;
+}
+
+// A connection that is silent goes once no set-up waits on it, and another one comes.
+void ServerConnections::replace_silent(ServerNumber number) {
+    Server& at = server(number);
+    for (const auto& link : std::vector<std::shared_ptr<Link>>(at.links)) {
+        if (!is_silent(at, *link)) continue;
+        if (!user_.waits_for_answer(*link)) {
+            close_now(*link, "silent");
+        } else if (!std::exchange(link->avoided, true)) {
+            at.wants_new = true;
+        }
+    }
+}
+
+void ServerConnections::close_now(Link& link, std::string_view why) {
+    note("server_connection_closing", link, why);
+    link.connection.close();
+    ended(link, Connection::End::Finished);
+}
+
+// The next connection that is needed, in place of a silent one where there is no room.
+void ServerConnections::open_wanted(ServerNumber number) {
+    Server& at = server(number);
+    const bool connecting = std::any_of(at.links.begin(), at.links.end(), [](const auto& link) {
+        return !link->leaving && !link->connection.is_open();
+    });
+    if (connecting || open(number, Need::Keep) != nullptr) return;
+    const auto avoided =
+        std::find_if(at.links.begin(), at.links.end(), [](const auto& link) { return link->avoided; });
+    if (avoided == at.links.end()) return;
+    close_now(**avoided, "room for the one in its place");
+    open(number, Need::Keep);
 }
 
 void ServerConnections::ended(Link& link, Connection::End why) {
@@ -322,6 +366,7 @@
     // and refuses is gone, though it may not have closed them, and so is one that broke its last one: another
     // server may have its address by the time of the next connect.
     if (at.releases) at.releases->connection_lost(link.number, loop_.now());
+    at.wants_new = at.wants_new || (link.came_up && !link.sessions.empty());
     const KnownServer* known = directory_.find(number);
     const bool left = known == nullptr || known->entry.state == cinderfront::ServerState::Gone;
     const bool broken = why == Connection::End::Reset || why == Connection::End::PeerClosed;
--- a/src/agent/server_connections.h
+++ b/src/agent/server_connections.h
@@ -15,6 +15,7 @@
 #include "agent/log.h"
 #include "agent/retransmit_queue.h"
 #include "agent/seam.h"
+#include "agent/silence_limits.h"
 #include "codec/server_codec.h"
 #include "net/buffer_pool.h"
 #include "net/connection.h"
@@ -26,6 +27,7 @@
     double connect_timeout = 0, conn_idle = 0;  // s
     std::size_t streams_per_conn = 0, connections = 0;
     double note_every = 0, note_late = 0;  // how often a server with sessions speaks, and how late
+    bool can_probe = false;
 };
 
 class ServerConnections {
@@ -40,7 +42,8 @@
         virtual void taken(Link& link, const codec::ServerMessage& message) = 0;
         // What was on it goes elsewhere, or is over; the object lives until the loop's next turn.
         virtual void link_over(Link& link, net::Connection::End why, Process process) = 0;
-        virtual bool stands(ServerNumber number) const = 0;  // a session, so that a connection is kept
+        virtual bool stands(ServerNumber number) const = 0;         // a session, so that a connection is kept
+        virtual bool waits_for_answer(const Link& link) const = 0;  // to a set-up written on it
 
     protected:
         ~User() = default;
@@ -48,7 +51,14 @@
 
     ServerConnections(net::Loop& loop, net::BufferPool& pool, Log& log, User& user,
                       const ServerDirectory& directory, const LinkLimits& limits)
-        : loop_(loop), pool_(pool), log_(log), user_(user), directory_(directory), limits_(limits) {}
+        : loop_(loop),
+          pool_(pool),
+          log_(log),
+          user_(user),
+          directory_(directory),
+          limits_(limits),
+          silence_(
+              silence_limits({limits.note_every, limits.note_late, limits.conn_idle, limits.can_probe})) {}
 
     Link* for_set_up(ServerNumber number);  // null: there is none to be had
     // Says it on this connection, on another one there, or on the next one.
@@ -68,9 +78,11 @@
 private:
     struct Server {
         std::vector<std::shared_ptr<Link>> links;
-        std::vector<std::string> words;             // messages on sessions that wait for a connection
-        double heard = 0;                           // something came from there, or a connection came up
-        int vain = 0;                               // connections that timed out since
+        std::vector<std::string> words;  // messages on sessions that wait for a connection
+        double heard = 0;                // something came from there, or a connection came up
+        int vain = 0;                    // connections that timed out since
+        // One on which sessions stood has ended: what was said on it is said again on the next one.
+        bool wants_new = false;
         std::unique_ptr<RetransmitQueue> releases;  // not acknowledged; null: none
         std::unique_ptr<net::Timer> watch;
     };
@@ -88,6 +100,11 @@
     Link* talking(Server& at, const Link* preferred);
     void watch(ServerNumber number);
     void look_after(ServerNumber number);
+    void close_rested(ServerNumber number);
+    bool is_silent(const Server& at, const Link& link) const;
+    void replace_silent(ServerNumber number);
+    void close_now(Link& link, std::string_view why);
+    void open_wanted(ServerNumber number);
     bool quiet(const Server& at) const;
     void ended(Link& link, net::Connection::End why);
     void note(std::string_view event, const Link& link, std::string_view why);
@@ -98,6 +115,7 @@
     User& user_;
     const ServerDirectory& directory_;
     const LinkLimits limits_;
+    const SilenceLimits silence_;
     std::map<ServerNumber, Server> servers_;
     std::size_t links_ = 0;
     std::uint64_t opened_ = 0;  // since the start
@@ -118,7 +136,9 @@
     std::deque<SessionId> queue;   // set-ups not yet written
     std::set<SessionId> sessions;  // set-ups and sessions that were set up here
     double used;                   // last traffic
+    double heard;                  // last bytes from the server, or since when it is there
     bool came_up = false;
+    bool avoided = false;  // silent for too long: no set-up goes there
     bool leaving = false;  // being closed from here
 
 private:
--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -39,6 +39,13 @@
     return it != servers_.end() && !it->second.standing.empty();
 }
 
+bool ServerLinks::waits_for_answer(const Link& link) const {
+    return std::any_of(link.sessions.begin(), link.sessions.end(), [this](SessionId id) {
+        const auto it = entries_.find(id);
+        return it != entries_.end() && it->second.state == State::Written;
+    });
+}
+
 void ServerLinks::link_over(Link& link, Connection::End why, ServerConnections::Process process) {
     using Process = ServerConnections::Process;
     const ServerNumber number = link.server;
--- a/src/agent/server_links.h
+++ b/src/agent/server_links.h
@@ -76,6 +76,7 @@
     void taken(Link& link, const codec::ServerMessage& message) override;
     void link_over(Link& link, net::Connection::End why, ServerConnections::Process process) override;
     bool stands(ServerNumber number) const override;
+    bool waits_for_answer(const Link& link) const override;
     void pump(Link& link);
     void finished(const codec::ServerMessage& message);
     void take_named(Link& link, const codec::ServerMessage& message);
