End a silent server's sessions in time, whether or not its connections come up

Cause: a connection that came up counted as a sign of life (Link::opened set heard and cleared vain). A hung process, or whoever stands in between, has its connections accepted by the kernel, so each new one, opened because of the silence, ended the silence; after six no more was opened and nothing was ever told. Where probes are not allowed it takes notes that are overdue; with neither, silence alone ends nothing (open risk). Class: open taken for alive; also descriptors that ran out here no longer speak against a server.

--- a/src/agent/server_connections.cpp
+++ b/src/agent/server_connections.cpp
@@ -24,7 +24,8 @@
 // server may hang or be cut off.
 constexpr RetransmitQueue::Times release_times{30, 1};
 constexpr std::size_t most_releases = 1024;  // of one server
-constexpr int vain_connects = 2;             // that time out in a row before a silent machine counts as gone
+constexpr double longest_connect_pause_s = 4;
+constexpr int vain_connects = 2;  // that time out in a row before a silent machine counts as gone
 
 }  // namespace
 
@@ -42,10 +43,12 @@
 void ServerConnections::Link::opened(Connection&) {
     Server& at = all_.server(server);
     came_up = true;
-    at.heard = heard = used = all_.loop_.now();
+    heard = used = all_.loop_.now();
     at.vain = 0;
     at.wants_new = false;
     all_.note("server_connection_up", *this, "");
+    // That it comes up says little: a frozen process, and whoever stands in between, accepts it too.
+    if (all_.is_due_a_probe(server, at)) all_.probe(at, *this);
     for (const std::string& text : std::exchange(at.words, {})) connection.send(text);
     all_.send_releases(server, *this);
     all_.user_.link_up(*this);
@@ -54,7 +57,8 @@
 std::size_t ServerConnections::Link::received(Connection&, std::string_view bytes) {
     std::size_t taken = 0;
     Server& at = all_.server(server);
-    at.heard = heard = used = all_.loop_.now();
+    all_.heard(server);
+    heard = used = all_.loop_.now();
     at.vain = 0;
     avoided = false;
     try {
@@ -96,10 +100,13 @@
 }
 
 void ServerConnections::heard(ServerNumber number) {
-    server(number).heard = std::max(server(number).heard, loop_.now());
+    Server& at = server(number);
+    at.heard = loop_.now();
+    at.probed = 0;
+    at.connect_pause = at.connect_not_before = 0;
 }
 
-void ServerConnections::drop_words(ServerNumber number) {
+void ServerConnections::drop_messages(ServerNumber number) {
     server(number).words.clear();
     server(number).releases.reset();
     server(number).vain = 0;
@@ -174,6 +181,7 @@
         }
         return nullptr;
     }
+    at.opened = loop_.now();
     at.links.push_back(std::make_shared<Link>(*this, number, known->address));
     ++links_;
     watch(number);
@@ -265,7 +273,9 @@
     Server& at = server(number);
     const bool has =
         std::any_of(at.links.begin(), at.links.end(), [](const auto& link) { return !link->leaving; });
-    if (!has || at.wants_new) open_wanted(number);
+    const bool is_urgent = user_.stands(number) || !at.words.empty();
+    const bool may_open = is_urgent || loop_.now() >= at.connect_not_before;
+    if ((!has || at.wants_new) && may_open) open_wanted(number);
     watch(number);
 }
 
@@ -281,7 +291,9 @@
     Server& at = server(number);
     close_rested(number);
     retransmit_releases(number);
+    probe_silent(number);
     if (user_.stands(number)) replace_silent(number);
+    end_if_silent(number);
     if (needs_connection(number, at)) keep(number);
     if (!at.links.empty() || needs_connection(number, at)) watch(number);
 }
@@ -293,9 +305,11 @@
     std::size_t staying = 0;
     for (const auto& link : at.links) staying += link->leaving ? 0 : 1;
     for (const auto& link : at.links) {
-        const bool needed = !link->sessions.empty() || (staying == 1 && user_.stands(number));
+        const bool has_sessions = !link->sessions.empty() && !link->avoided;
+        const bool needed = has_sessions || (staying == 1 && user_.stands(number));
         if (link->leaving || needed || !link->connection.is_open()) continue;
-        if (limits_.conn_idle <= 0 || now < link->used + idle_part * limits_.conn_idle) continue;
+        const double idle_s = link->avoided ? limits_.conn_idle : idle_part * limits_.conn_idle;
+        if (limits_.conn_idle <= 0 || now < link->used + idle_s) continue;
         note("server_connection_closing", *link, "idle");
         link->leaving = true;
         --staying;
@@ -303,12 +317,41 @@
     }
 }
 
+bool ServerConnections::is_due_a_probe(ServerNumber number, const Server& at) const {
+    return limits_.can_probe && user_.stands(number) && loop_.now() > at.heard + silence_.probe_after;
+}
+
+void ServerConnections::probe_silent(ServerNumber number) {
+    Server& at = server(number);
+    if (at.probed > 0 || !is_due_a_probe(number, at)) return;
+    for (const auto& link : at.links) {
+        if (link->connection.is_open() && !link->leaving) probe(at, *link);
+    }
+}
+
+void ServerConnections::probe(Server& at, Link& link) {
+    if (at.probed == 0) at.probed = loop_.now();
+    note("server_probed", link, "silent");
+    user_.probe(link);
+}
+
+// Ends the sessions of a server that says nothing, whether or not its connections come up.
+void ServerConnections::end_if_silent(ServerNumber number) {
+    Server& at = server(number);
+    const double now = loop_.now();
+    if (!user_.stands(number) || now < at.heard + silence_.over_after) return;
+    const bool is_unanswered = at.probed > 0 && now >= at.probed + silence_.probe_answer;
+    if (limits_.can_probe ? !is_unanswered : !silence_.notes_are_due) return;
+    for (const auto& link : at.links) link->avoided = true;
+    user_.server_silent(number);
+}
+
 // Nothing came for longer than a server with sessions is silent.
 bool ServerConnections::quiet(const Server& at) const {
     return loop_.now() > at.heard + silence_.vanished_after;
 }
 
-// Where nothing else brings it what it needs: that may be silent, or have been forgotten by the server.
+// Sessions rely on it, and it may be dead, or forgotten by the server.
 bool ServerConnections::is_silent(const Server& at, const Link& link) const {
     if (!link.connection.is_open() || link.leaving) return false;
     const auto staying =
@@ -319,16 +362,15 @@
     return rests || now > link.heard + silence_.replace_after;
 }
 
-// A connection that is silent goes once no set-up waits on it, and another one comes.
+// A connection that is silent takes no more set-ups, and another one is opened beside it. It stays for as
+// long as there is room: a server that was only stopped still has something to say on it.
 void ServerConnections::replace_silent(ServerNumber number) {
     Server& at = server(number);
-    for (const auto& link : std::vector<std::shared_ptr<Link>>(at.links)) {
+    for (const auto& link : at.links) {
         if (!is_silent(at, *link)) continue;
-        if (!user_.waits_for_answer(*link)) {
-            close_now(*link, "silent");
-        } else if (!std::exchange(link->avoided, true)) {
-            at.wants_new = true;
-        }
+        link->avoided = true;
+        const double again_after = std::min(silence_.replace_after, silence_.idle_after);
+        at.wants_new = at.wants_new || loop_.now() > at.opened + again_after;
     }
 }
 
@@ -345,6 +387,7 @@
         return !link->leaving && !link->connection.is_open();
     });
     if (connecting || open(number, Need::Keep) != nullptr) return;
+    // The links are in the order in which they were opened.
     const auto avoided =
         std::find_if(at.links.begin(), at.links.end(), [](const auto& link) { return link->avoided; });
     if (avoided == at.links.end()) return;
@@ -366,6 +409,10 @@
     // and refuses is gone, though it may not have closed them, and so is one that broke its last one: another
     // server may have its address by the time of the next connect.
     if (at.releases) at.releases->connection_lost(link.number, loop_.now());
+    if (!link.came_up) {
+        at.connect_pause = std::clamp(2 * at.connect_pause, look_every_s, longest_connect_pause_s);
+        at.connect_not_before = loop_.now() + at.connect_pause;
+    }
     at.wants_new = at.wants_new || (link.came_up && !link.sessions.empty());
     const KnownServer* known = directory_.find(number);
     const bool left = known == nullptr || known->entry.state == cinderfront::ServerState::Gone;
--- a/src/agent/server_connections.h
+++ b/src/agent/server_connections.h
@@ -44,6 +44,8 @@
         virtual void link_over(Link& link, net::Connection::End why, Process process) = 0;
         virtual bool stands(ServerNumber number) const = 0;         // a session, so that a connection is kept
         virtual bool waits_for_answer(const Link& link) const = 0;  // to a set-up written on it
+        virtual void probe(Link& link) = 0;                         // asks the server for a sign of life
+        virtual void server_silent(ServerNumber number) = 0;        // for so long that its sessions are over
 
     protected:
         ~User() = default;
@@ -70,7 +72,7 @@
     void keep(ServerNumber number);   // one at least, as long as something stands there
     void heard(ServerNumber number);  // as if it had spoken now
     bool talks(ServerNumber number) { return talking(server(number), nullptr) != nullptr; }
-    void drop_words(ServerNumber number);  // releases too
+    void drop_messages(ServerNumber number);  // that wait, and releases
     void close_idle(ServerNumber number);
     // Whether a connection is there, or a message that waits for one. What is known of a server without goes.
     bool holds(ServerNumber number);
@@ -79,11 +81,14 @@
     struct Server {
         std::vector<std::shared_ptr<Link>> links;
         std::vector<std::string> words;  // messages on sessions that wait for a connection
-        double heard = 0;                // something came from there, or a connection came up
+        double heard = 0;                // something came from there
+        double probed = 0;               // it was first asked for a sign of life since; 0: it was not
         int vain = 0;                    // connections that timed out since
         // One on which sessions stood has ended: what was said on it is said again on the next one.
         bool wants_new = false;
-        std::unique_ptr<RetransmitQueue> releases;  // not acknowledged; null: none
+        double opened = 0;                                 // the last connection was begun
+        double connect_pause = 0, connect_not_before = 0;  // where releases alone wait for a connection
+        std::unique_ptr<RetransmitQueue> releases;         // not acknowledged; null: none
         std::unique_ptr<net::Timer> watch;
     };
     Server& server(ServerNumber number);
@@ -101,6 +106,10 @@
     void watch(ServerNumber number);
     void look_after(ServerNumber number);
     void close_rested(ServerNumber number);
+    bool is_due_a_probe(ServerNumber number, const Server& at) const;
+    void probe_silent(ServerNumber number);
+    void probe(Server& at, Link& link);
+    void end_if_silent(ServerNumber number);
     bool is_silent(const Server& at, const Link& link) const;
     void replace_silent(ServerNumber number);
     void close_now(Link& link, std::string_view why);
--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -57,13 +57,8 @@
         const auto it = entries_.find(id);
         if (it != entries_.end()) it->second.link = nullptr;
     }
-    if (process != Process::Unknown && stands(number))
-        log_.info("sessions_over",
-                  {{"server", std::to_string(number)},
-                   {"sessions", std::to_string(servers_[number].standing.size())},
-                   {"why", process == Process::Gone ? "its process is gone" : "it is silent"}});
     if (process == Process::Gone) events_.process_gone(number);
-    if (process != Process::Unknown) all_over(number);
+    if (process != Process::Unknown) all_over(number, process);
     for (const SessionId id : sessions) {
         const auto it = entries_.find(id);
         if (it == entries_.end()) continue;
@@ -83,15 +78,27 @@
     }
 }
 
-// The process at a server is gone, and with it what stood there.
-void ServerLinks::all_over(ServerNumber number) {
-    connections_.drop_words(number);
+void ServerLinks::server_silent(ServerNumber number) {
+    all_over(number, ServerConnections::Process::Silent);
+}
+
+// The process at a server is gone, and with it what stood there; or it is silent, and what stands there is
+// released as soon as it can be reached.
+void ServerLinks::all_over(ServerNumber number, ServerConnections::Process process) {
+    const bool is_gone = process == ServerConnections::Process::Gone;
+    if (stands(number))
+        log_.info("sessions_over", {{"server", std::to_string(number)},
+                                    {"sessions", std::to_string(servers_[number].standing.size())},
+                                    {"why", is_gone ? "its process is gone" : "it is silent"}});
+    connections_.drop_messages(number);
     std::vector<SessionId> over;
     for (const auto& [since, id] : std::exchange(servers_[number].standing, {})) over.push_back(id);
     std::sort(over.begin(), over.end());
     for (const SessionId id : over) {
+        const Entry entry = entries_.at(id);
         erase(id);
         events_.session_ended(id, Ending::Dropped, {});
+        if (!is_gone) connections_.release(number, nullptr, release_of(id, entry));
     }
 }
 
@@ -270,14 +277,18 @@
     connections_.speak(it->second.attempt.server, it->second.link, message);
 }
 
+ServerMessage ServerLinks::release_of(SessionId id, const Entry& entry) {
+    ServerMessage message = word(ServerVerb::Finish, id, cause_cancelled);
+    if (entry.epoch > 0) message.fields["epoch"] = std::to_string(entry.epoch);
+    return message;
+}
+
 void ServerLinks::end_session(SessionId id) {
     const auto it = entries_.find(id);
     if (it == entries_.end()) return;
     const Entry entry = it->second;
     erase(id);
-    ServerMessage message = word(ServerVerb::Finish, id, cause_cancelled);
-    if (entry.epoch > 0) message.fields["epoch"] = std::to_string(entry.epoch);
-    connections_.release(entry.attempt.server, entry.link, message);
+    connections_.release(entry.attempt.server, entry.link, release_of(id, entry));
 }
 
 void ServerLinks::adopt(SessionId id, ServerNumber number) {
@@ -445,6 +456,11 @@
 
 // ---- Probes ----
 
+// Its answer, whatever it is, is heard as a sign of life and told to nobody.
+void ServerLinks::probe(Link& link) {
+    link.connection.send(encode(word(ServerVerb::Echo, next_probe_++, 1)));
+}
+
 void ServerLinks::probe(ServerNumber number) {
     const SessionId tag = next_probe_++;
     const double now = loop_.now();
--- a/src/agent/server_links.h
+++ b/src/agent/server_links.h
@@ -77,13 +77,16 @@
     void link_over(Link& link, net::Connection::End why, ServerConnections::Process process) override;
     bool stands(ServerNumber number) const override;
     bool waits_for_answer(const Link& link) const override;
+    void probe(Link& link) override;
+    void server_silent(ServerNumber number) override;
     void pump(Link& link);
     void finished(const codec::ServerMessage& message);
     void take_named(Link& link, const codec::ServerMessage& message);
     void attempt_over(SessionId id, cinderfront::Ending how, const cinderfront::LoadReport& load);
-    void all_over(ServerNumber number);
+    void all_over(ServerNumber number, ServerConnections::Process process);
     void release_where_connected(const Attempt& attempt);
     double died_after(const KnownServer& known, const Server& at) const;
+    static codec::ServerMessage release_of(SessionId id, const Entry& entry);
     void erase(SessionId id);
     // Entries, and with them what is at each server: all changes of a state or a server go by these.
     Entry& place(SessionId id, Entry entry);
--- a/src/agent/silence_limits.h
+++ b/src/agent/silence_limits.h
@@ -15,6 +15,7 @@
 
 struct SilenceLimits {
     double probe_after = 0;     // the server is asked for a sign of life
+    double probe_answer = 0;    // an answer to that may take so long
     double replace_after = 0;   // a connection is replaced
     double idle_after = 0;      // a connection without traffic either way is replaced
     double vanished_after = 0;  // connects that time out count: the machine has vanished
--- a/tests/scenarios/scenario.cpp
+++ b/tests/scenarios/scenario.cpp
@@ -420,6 +420,7 @@
             if (key == "streams") json["settings"]["limits"]["streams_per_conn"] = std::stoi(value);
             if (key == "deadline") json["settings"]["classes"][0]["deadline"] = std::stod(value);
             if (key == "told") json["settings"]["family_info"]["told_every"] = std::stod(value);
+            if (key == "probes") json["settings"]["limits"]["probes"] = value == "true";
             if (key == "drop") json.erase(value);
             if (key == "listen") json["listen"] = value;
         }
--- a/tests/scenarios/silent_server_test.cpp
+++ b/tests/scenarios/silent_server_test.cpp
@@ -37,7 +37,7 @@
 
 TEST_CASE("silent server: it is told of the sessions' end once it speaks again") {
     CHECK_EQ(play(R"(
-        agent send start told=0.3
+        agent send start told=0.3 probes=false
         stands 5
         v1 expect release 5 cause=41
         s1 close                               # what was written to it so far is lost
