Keep releases that wait for a silent server as its sessions end

Only proof that the process is gone drops them now; one that no longer fits the queue is sent without being kept. A connection that is under way no longer counts as lacking.

--- a/src/agent/server_connections.cpp
+++ b/src/agent/server_connections.cpp
@@ -106,9 +106,12 @@
     at.connect_pause = at.connect_not_before = 0;
 }
 
-void ServerConnections::drop_messages(ServerNumber number) {
-    server(number).words.clear();
+void ServerConnections::drop_releases(ServerNumber number) {
     server(number).releases.reset();
+}
+
+void ServerConnections::drop_words(ServerNumber number) {
+    server(number).words.clear();
     server(number).vain = 0;
 }
 
@@ -127,7 +130,7 @@
 // Whether a server needs a connection that is not there: it could tell of no end.
 bool ServerConnections::is_owed(ServerNumber number, const Server& at) const {
     if (!needs_connection(number, at)) return false;
-    if (at.wants_new) return true;
+    if (at.wants_new) return !is_connecting(at);
     return std::all_of(at.links.begin(), at.links.end(), [](const auto& link) { return link->leaving; });
 }
 
@@ -235,8 +238,13 @@
                                 const codec::ServerMessage& message) {
     Server& at = server(number);
     if (!at.releases) at.releases = std::make_unique<RetransmitQueue>(release_times);
-    if (at.releases->size() < most_releases) at.releases->add(message.session, encode(message), loop_.now());
-    if (Link* link = talking(at, preferred)) return send_releases(number, *link);
+    Link* const link = talking(at, preferred);
+    if (at.releases->size() >= most_releases) {
+        if (link != nullptr) link->connection.send(encode(message));
+        return;
+    }
+    at.releases->add(message.session, encode(message), loop_.now());
+    if (link != nullptr) return send_releases(number, *link);
     keep(number);
 }
 
@@ -380,13 +388,15 @@
     ended(link, Connection::End::Finished);
 }
 
+bool ServerConnections::is_connecting(const Server& at) {
+    return std::any_of(at.links.begin(), at.links.end(),
+                       [](const auto& link) { return !link->leaving && !link->connection.is_open(); });
+}
+
 // The next connection that is needed, in place of a silent one where there is no room.
 void ServerConnections::open_wanted(ServerNumber number) {
     Server& at = server(number);
-    const bool connecting = std::any_of(at.links.begin(), at.links.end(), [](const auto& link) {
-        return !link->leaving && !link->connection.is_open();
-    });
-    if (connecting || open(number, Need::Keep) != nullptr) return;
+    if (is_connecting(at) || open(number, Need::Keep) != nullptr) return;
     // The links are in the order in which they were opened.
     const auto avoided =
         std::find_if(at.links.begin(), at.links.end(), [](const auto& link) { return link->avoided; });
--- a/src/agent/server_connections.h
+++ b/src/agent/server_connections.h
@@ -72,7 +72,8 @@
     void keep(ServerNumber number);   // one at least, as long as something stands there
     void heard(ServerNumber number);  // as if it had spoken now
     bool talks(ServerNumber number) { return talking(server(number), nullptr) != nullptr; }
-    void drop_messages(ServerNumber number);  // that wait, and releases
+    void drop_words(ServerNumber number);
+    void drop_releases(ServerNumber number);
     void close_idle(ServerNumber number);
     // Whether a connection is there, or a message that waits for one. What is known of a server without goes.
     bool holds(ServerNumber number);
@@ -113,6 +114,7 @@
     bool is_silent(const Server& at, const Link& link) const;
     void replace_silent(ServerNumber number);
     void close_now(Link& link, std::string_view why);
+    static bool is_connecting(const Server& at);
     void open_wanted(ServerNumber number);
     bool quiet(const Server& at) const;
     void ended(Link& link, net::Connection::End why);
--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -90,7 +90,8 @@
         log_.info("sessions_over", {{"server", std::to_string(number)},
                                     {"sessions", std::to_string(servers_[number].standing.size())},
                                     {"why", is_gone ? "its process is gone" : "it is silent"}});
-    connections_.drop_messages(number);
+    connections_.drop_words(number);
+    if (is_gone) connections_.drop_releases(number);
     std::vector<SessionId> over;
     for (const auto& [since, id] : std::exchange(servers_[number].standing, {})) over.push_back(id);
     std::sort(over.begin(), over.end());
