Name server connections in the field's words, and test a session that was handed in

In src/agent/server_connections.* and server_links.*: a queue of messages is pending, not words; the timer is maintenance, not a watch that looks after; failed connects are timeouts, not vain; a server lacks a connection, where it was owed one; sessions are there (has_sessions), a connection is closing. Behaviour is unchanged.

--- a/src/agent/server_connections.cpp
+++ b/src/agent/server_connections.cpp
@@ -14,18 +14,18 @@
 constexpr std::size_t links_per_server = 6;
 // Parts of the server's idle time: no set-up goes out on a connection that rested longer, and no connection
 // that nothing needs is kept longer. The server's own close must never meet a set-up.
-constexpr double stale_part = 0.7, idle_part = 0.6;
-constexpr double look_every_s = 0.25;
+constexpr double stale_part_of_idle = 0.7, close_part_of_idle = 0.6;
+constexpr double maintain_every_s = 0.25;
 // A connection must have rested so long before it makes room: what was said last on it has been read by then.
 constexpr double rested_s = 0.25;
 // A line must be whole so long after its first bytes, s: one that stops short is not an answer that is late.
-constexpr double whole_within_s = 0.5;
+constexpr double line_complete_within_s = 0.5;
 // A release is sent again on another connection after the first pause, which doubles; no longer than the
 // server may hang or be cut off.
 constexpr RetransmitQueue::Times release_times{30, 1};
 constexpr std::size_t most_releases = 1024;  // of one server
 constexpr double longest_connect_pause_s = 4;
-constexpr int vain_connects = 2;  // that time out in a row before a silent machine counts as gone
+constexpr int timeouts_to_vanish = 2;  // that time out in a row before a silent machine counts as gone
 
 }  // namespace
 
@@ -37,56 +37,57 @@
       used(all.loop_.now()),
       heard(used),
       all_(all),
-      patience_(all.loop_),
+      line_timer_(all.loop_),
       connection(all.loop_, all.pool_, *this, address, all.limits_.connect_timeout, net::Order::Late) {}
 
 void ServerConnections::Link::opened(Connection&) {
     Server& at = all_.server(server);
     came_up = true;
     heard = used = all_.loop_.now();
-    at.vain = 0;
+    at.timeouts = 0;
     at.wants_new = false;
     all_.note("server_connection_up", *this, "");
     // That it comes up says little: a frozen process, and whoever stands in between, accepts it too.
     if (all_.is_due_a_probe(server, at)) all_.probe(at, *this);
-    for (const std::string& text : std::exchange(at.words, {})) connection.send(text);
+    for (const std::string& text : std::exchange(at.pending, {})) connection.send(text);
     all_.send_releases(server, *this);
-    all_.user_.link_up(*this);
+    all_.user_.link_writable(*this);
 }
 
 std::size_t ServerConnections::Link::received(Connection&, std::string_view bytes) {
-    std::size_t taken = 0;
+    std::size_t consumed = 0;
     Server& at = all_.server(server);
     all_.heard(server);
     heard = used = all_.loop_.now();
-    at.vain = 0;
+    at.timeouts = 0;
     avoided = false;
     try {
         while (true) {  // also while it is being closed from here: a release may be among it
-            const auto decoded = codec::decode_server(bytes.substr(taken));
+            const auto decoded = codec::decode_server(bytes.substr(consumed));
             if (!decoded) break;
-            taken += decoded->size;
-            patience_.cancel();
-            all_.user_.taken(*this, decoded->message);
+            consumed += decoded->size;
+            line_timer_.cancel();
+            all_.user_.received(*this, decoded->message);
         }
     } catch (const codec::CodecError& error) {
         // A peer that can't be read ends its own connection only.
-        break_off(error.what());
-        return taken;
+        close_unreadable(error.what());
+        return consumed;
     }
     // Guards against a line that stops short: what comes after it on this connection can't be told from it.
-    if (taken < bytes.size() && !patience_.is_set()) {
-        patience_.set(all_.loop_.now() + whole_within_s, [this] { break_off("a line stops short"); });
+    if (consumed < bytes.size() && !line_timer_.is_set()) {
+        line_timer_.set(all_.loop_.now() + line_complete_within_s,
+                        [this] { close_unreadable("a line stops short"); });
     }
-    return taken;
+    return consumed;
 }
 
-void ServerConnections::Link::break_off(const std::string& why) {
+void ServerConnections::Link::close_unreadable(const std::string& why) {
     all_.log_.warn("server_unreadable", {{"server", std::to_string(server)},
                                          {"connection", std::to_string(number)},
                                          {"sessions", std::to_string(sessions.size())},
                                          {"why", why}});
-    patience_.cancel();
+    line_timer_.cancel();
     connection.close();
     all_.ended(*this, Connection::End::Reset);
 }
@@ -95,7 +96,7 @@
 
 ServerConnections::Server& ServerConnections::server(ServerNumber number) {
     Server& at = servers_[number];
-    if (!at.watch) at.watch = std::make_unique<net::Timer>(loop_);
+    if (!at.maintenance) at.maintenance = std::make_unique<net::Timer>(loop_);
     return at;
 }
 
@@ -110,34 +111,34 @@
     server(number).releases.reset();
 }
 
-void ServerConnections::drop_words(ServerNumber number) {
-    server(number).words.clear();
-    server(number).vain = 0;
+void ServerConnections::drop_pending(ServerNumber number) {
+    server(number).pending.clear();
+    server(number).timeouts = 0;
 }
 
 bool ServerConnections::holds(ServerNumber number) {
     const auto it = servers_.find(number);
     if (it == servers_.end()) return false;
-    if (!it->second.links.empty() || !it->second.words.empty() || it->second.releases) return true;
+    if (!it->second.links.empty() || !it->second.pending.empty() || it->second.releases) return true;
     servers_.erase(it);
     return false;
 }
 
 bool ServerConnections::needs_connection(ServerNumber number, const Server& at) const {
-    return user_.stands(number) || !at.words.empty() || at.releases;
+    return user_.has_sessions(number) || !at.pending.empty() || at.releases;
 }
 
 // Whether a server needs a connection that is not there: it could tell of no end.
-bool ServerConnections::is_owed(ServerNumber number, const Server& at) const {
+bool ServerConnections::lacks_connection(ServerNumber number, const Server& at) const {
     if (!needs_connection(number, at)) return false;
     if (at.wants_new) return !is_connecting(at);
-    return std::all_of(at.links.begin(), at.links.end(), [](const auto& link) { return link->leaving; });
+    return std::all_of(at.links.begin(), at.links.end(), [](const auto& link) { return link->closing; });
 }
 
-std::size_t ServerConnections::owed() const {
+std::size_t ServerConnections::servers_lacking_connection() const {
     return static_cast<std::size_t>(
         std::count_if(servers_.begin(), servers_.end(),
-                      [this](const auto& entry) { return is_owed(entry.first, entry.second); }));
+                      [this](const auto& entry) { return lacks_connection(entry.first, entry.second); }));
 }
 
 // At the bound, connections that rest make room. What is owed to servers goes before new set-ups.
@@ -145,7 +146,8 @@
     const auto fits = [&] {
         if (links_ >= limits_.connections) return false;
         const bool may_be_short = links_ + servers_.size() >= limits_.connections;
-        return need == Need::Keep || !may_be_short || links_ + owed() < limits_.connections;
+        return need == Need::Required || !may_be_short ||
+               links_ + servers_lacking_connection() < limits_.connections;
     };
     while (!fits()) {
         if (!close_resting()) return false;
@@ -158,10 +160,10 @@
     Link* oldest = nullptr;
     for (const auto& [number, at] : servers_) {
         std::size_t staying = 0;
-        for (const auto& link : at.links) staying += link->leaving ? 0 : 1;
-        const bool last_is_needed = user_.stands(number) && staying <= 1;
+        for (const auto& link : at.links) staying += link->closing ? 0 : 1;
+        const bool last_is_needed = user_.has_sessions(number) && staying <= 1;
         for (const auto& link : at.links) {
-            const bool rests = link->connection.is_open() && !link->leaving && link->sessions.empty() &&
+            const bool rests = link->connection.is_open() && !link->closing && link->sessions.empty() &&
                                link->used + rested_s <= loop_.now() && !link->connection.has_unread();
             if (!rests || last_is_needed) continue;
             if (oldest == nullptr || link->used < oldest->used) oldest = link.get();
@@ -187,15 +189,15 @@
     at.opened = loop_.now();
     at.links.push_back(std::make_shared<Link>(*this, number, known->address));
     ++links_;
-    watch(number);
+    schedule_maintenance(number);
     return at.links.back().get();
 }
 
-ServerConnections::Link* ServerConnections::for_set_up(ServerNumber number) {
-    const double stale = loop_.now() - stale_part * limits_.conn_idle;
+ServerConnections::Link* ServerConnections::link_for_set_up(ServerNumber number) {
+    const double stale = loop_.now() - stale_part_of_idle * limits_.conn_idle;
     Link* best = nullptr;
     for (const auto& link : server(number).links) {
-        if (link->leaving || link->avoided || link->sessions.size() >= limits_.streams_per_conn) continue;
+        if (link->closing || link->avoided || link->sessions.size() >= limits_.streams_per_conn) continue;
         if (limits_.conn_idle > 0 && link->used < stale) continue;
         const bool better = best == nullptr || (link->connection.is_open() && !best->connection.is_open());
         if (better) best = link.get();
@@ -203,49 +205,49 @@
     return best != nullptr ? best : open(number, Need::SetUp);
 }
 
-ServerConnections::Link* ServerConnections::talking(Server& at, const Link* preferred) {
+ServerConnections::Link* ServerConnections::open_link(Server& at, const Link* preferred) {
     Link* any = nullptr;
     for (const auto& link : at.links) {
-        if (!link->connection.is_open() || link->leaving) continue;
+        if (!link->connection.is_open() || link->closing) continue;
         if (link.get() == preferred) return link.get();
         any = link.get();
     }
     return any;
 }
 
-ServerConnections::Link* ServerConnections::other_talking(Server& at, std::uint64_t not_this) {
+ServerConnections::Link* ServerConnections::other_open_link(Server& at, std::uint64_t not_this) {
     for (const auto& link : at.links) {
-        if (link->connection.is_open() && !link->leaving && link->number != not_this) return link.get();
+        if (link->connection.is_open() && !link->closing && link->number != not_this) return link.get();
     }
     return nullptr;
 }
 
-// Sends a message on a session by its own connection, another one there, or the next one.
-void ServerConnections::speak(ServerNumber number, const Link* preferred,
-                              const codec::ServerMessage& message) {
+// On its own connection, another one that is open, or the next one.
+void ServerConnections::send(ServerNumber number, const Link* preferred,
+                             const codec::ServerMessage& message) {
     Server& at = server(number);
     const std::string text = encode(message);
-    if (Link* link = talking(at, preferred)) {
+    if (Link* link = open_link(at, preferred)) {
         link->used = loop_.now();
         return link->connection.send(text);
     }
-    constexpr std::size_t most_words = 256;
-    if (at.words.size() < most_words) at.words.push_back(text);
-    keep(number);
+    constexpr std::size_t most_pending = 256;
+    if (at.pending.size() < most_pending) at.pending.push_back(text);
+    ensure_connection(number);
 }
 
 void ServerConnections::release(ServerNumber number, const Link* preferred,
                                 const codec::ServerMessage& message) {
     Server& at = server(number);
     if (!at.releases) at.releases = std::make_unique<RetransmitQueue>(release_times);
-    Link* const link = talking(at, preferred);
+    Link* const link = open_link(at, preferred);
     if (at.releases->size() >= most_releases) {
         if (link != nullptr) link->connection.send(encode(message));
         return;
     }
     at.releases->add(message.session, encode(message), loop_.now());
     if (link != nullptr) return send_releases(number, *link);
-    keep(number);
+    ensure_connection(number);
 }
 
 void ServerConnections::release_acknowledged(ServerNumber number, SessionId id) {
@@ -272,38 +274,38 @@
     at.releases->drop_expired(loop_.now());
     if (at.releases->empty()) return at.releases.reset();
     for (const SessionId id : at.releases->due(loop_.now())) {
-        if (Link* link = other_talking(at, at.releases->sent_on(id)))
+        if (Link* link = other_open_link(at, at.releases->sent_on(id)))
             link->connection.send(at.releases->send(id, link->number, loop_.now()));
     }
 }
 
-void ServerConnections::keep(ServerNumber number) {
+void ServerConnections::ensure_connection(ServerNumber number) {
     Server& at = server(number);
     const bool has =
-        std::any_of(at.links.begin(), at.links.end(), [](const auto& link) { return !link->leaving; });
-    const bool is_urgent = user_.stands(number) || !at.words.empty();
+        std::any_of(at.links.begin(), at.links.end(), [](const auto& link) { return !link->closing; });
+    const bool is_urgent = user_.has_sessions(number) || !at.pending.empty();
     const bool may_open = is_urgent || loop_.now() >= at.connect_not_before;
     if ((!has || at.wants_new) && may_open) open_wanted(number);
-    watch(number);
+    schedule_maintenance(number);
 }
 
-void ServerConnections::watch(ServerNumber number) {
+void ServerConnections::schedule_maintenance(ServerNumber number) {
     Server& at = server(number);
-    if (!at.watch->is_set()) {
-        at.watch->set(loop_.now() + look_every_s, [this, number] { look_after(number); });
+    if (!at.maintenance->is_set()) {
+        at.maintenance->set(loop_.now() + maintain_every_s, [this, number] { maintain(number); });
     }
 }
 
 // Sees to a connection while sessions stand or messages wait.
-void ServerConnections::look_after(ServerNumber number) {
+void ServerConnections::maintain(ServerNumber number) {
     Server& at = server(number);
     close_rested(number);
     retransmit_releases(number);
     probe_silent(number);
-    if (user_.stands(number)) replace_silent(number);
+    if (user_.has_sessions(number)) replace_silent(number);
     end_if_silent(number);
-    if (needs_connection(number, at)) keep(number);
-    if (!at.links.empty() || needs_connection(number, at)) watch(number);
+    if (needs_connection(number, at)) ensure_connection(number);
+    if (!at.links.empty() || needs_connection(number, at)) schedule_maintenance(number);
 }
 
 // Closes what nothing needs.
@@ -311,29 +313,29 @@
     Server& at = server(number);
     const double now = loop_.now();
     std::size_t staying = 0;
-    for (const auto& link : at.links) staying += link->leaving ? 0 : 1;
+    for (const auto& link : at.links) staying += link->closing ? 0 : 1;
     for (const auto& link : at.links) {
         const bool has_sessions = !link->sessions.empty() && !link->avoided;
-        const bool needed = has_sessions || (staying == 1 && user_.stands(number));
-        if (link->leaving || needed || !link->connection.is_open()) continue;
-        const double idle_s = link->avoided ? limits_.conn_idle : idle_part * limits_.conn_idle;
+        const bool needed = has_sessions || (staying == 1 && user_.has_sessions(number));
+        if (link->closing || needed || !link->connection.is_open()) continue;
+        const double idle_s = link->avoided ? limits_.conn_idle : close_part_of_idle * limits_.conn_idle;
         if (limits_.conn_idle <= 0 || now < link->used + idle_s) continue;
         note("server_connection_closing", *link, "idle");
-        link->leaving = true;
+        link->closing = true;
         --staying;
         link->connection.finish();
     }
 }
 
 bool ServerConnections::is_due_a_probe(ServerNumber number, const Server& at) const {
-    return limits_.can_probe && user_.stands(number) && loop_.now() > at.heard + silence_.probe_after;
+    return limits_.can_probe && user_.has_sessions(number) && loop_.now() > at.heard + silence_.probe_after;
 }
 
 void ServerConnections::probe_silent(ServerNumber number) {
     Server& at = server(number);
     if (at.probed > 0 || !is_due_a_probe(number, at)) return;
     for (const auto& link : at.links) {
-        if (link->connection.is_open() && !link->leaving) probe(at, *link);
+        if (link->connection.is_open() && !link->closing) probe(at, *link);
     }
 }
 
@@ -347,7 +349,7 @@
 void ServerConnections::end_if_silent(ServerNumber number) {
     Server& at = server(number);
     const double now = loop_.now();
-    if (!user_.stands(number) || now < at.heard + silence_.over_after) return;
+    if (!user_.has_sessions(number) || now < at.heard + silence_.over_after) return;
     const bool is_unanswered = at.probed > 0 && now >= at.probed + silence_.probe_answer;
     if (limits_.can_probe ? !is_unanswered : !silence_.notes_are_due) return;
     for (const auto& link : at.links) link->avoided = true;
@@ -355,15 +357,15 @@
 }
 
 // Nothing came for longer than a server with sessions is silent.
-bool ServerConnections::quiet(const Server& at) const {
+bool ServerConnections::is_overdue(const Server& at) const {
     return loop_.now() > at.heard + silence_.vanished_after;
 }
 
 // Sessions rely on it, and it may be dead, or forgotten by the server.
 bool ServerConnections::is_silent(const Server& at, const Link& link) const {
-    if (!link.connection.is_open() || link.leaving) return false;
+    if (!link.connection.is_open() || link.closing) return false;
     const auto staying =
-        std::count_if(at.links.begin(), at.links.end(), [](const auto& other) { return !other->leaving; });
+        std::count_if(at.links.begin(), at.links.end(), [](const auto& other) { return !other->closing; });
     if (link.sessions.empty() && staying > 1) return false;
     const double now = loop_.now();
     const bool rests = now > link.used + silence_.idle_after && !user_.waits_for_answer(link);
@@ -390,19 +392,19 @@
 
 bool ServerConnections::is_connecting(const Server& at) {
     return std::any_of(at.links.begin(), at.links.end(),
-                       [](const auto& link) { return !link->leaving && !link->connection.is_open(); });
+                       [](const auto& link) { return !link->closing && !link->connection.is_open(); });
 }
 
 // The next connection that is needed, in place of a silent one where there is no room.
 void ServerConnections::open_wanted(ServerNumber number) {
     Server& at = server(number);
-    if (is_connecting(at) || open(number, Need::Keep) != nullptr) return;
+    if (is_connecting(at) || open(number, Need::Required) != nullptr) return;
     // The links are in the order in which they were opened.
     const auto avoided =
         std::find_if(at.links.begin(), at.links.end(), [](const auto& link) { return link->avoided; });
     if (avoided == at.links.end()) return;
     close_now(**avoided, "room for the one in its place");
-    open(number, Need::Keep);
+    open(number, Need::Required);
 }
 
 void ServerConnections::ended(Link& link, Connection::End why) {
@@ -420,18 +422,19 @@
     // server may have its address by the time of the next connect.
     if (at.releases) at.releases->connection_lost(link.number, loop_.now());
     if (!link.came_up) {
-        at.connect_pause = std::clamp(2 * at.connect_pause, look_every_s, longest_connect_pause_s);
+        at.connect_pause = std::clamp(2 * at.connect_pause, maintain_every_s, longest_connect_pause_s);
         at.connect_not_before = loop_.now() + at.connect_pause;
     }
     at.wants_new = at.wants_new || (link.came_up && !link.sessions.empty());
     const KnownServer* known = directory_.find(number);
     const bool left = known == nullptr || known->entry.state == cinderfront::ServerState::Gone;
     const bool broken = why == Connection::End::Reset || why == Connection::End::PeerClosed;
-    const bool last = talking(at, nullptr) == nullptr;
+    const bool last = open_link(at, nullptr) == nullptr;
     const bool proof = why == Connection::End::Refused ? left || last : broken && left && last;
-    const bool silent = why == Connection::End::TimedOut && ++at.vain >= vain_connects && quiet(at);
-    user_.link_over(link, why, proof ? Process::Gone : silent ? Process::Silent : Process::Unknown);
-    watch(number);
+    const bool silent =
+        why == Connection::End::TimedOut && ++at.timeouts >= timeouts_to_vanish && is_overdue(at);
+    user_.link_ended(link, why, proof ? Process::Gone : silent ? Process::Silent : Process::Unknown);
+    schedule_maintenance(number);
 }
 
 void ServerConnections::note(std::string_view event, const Link& link, std::string_view why) {
@@ -443,11 +446,11 @@
 }
 
 void ServerConnections::close_idle(ServerNumber number) {
-    if (user_.stands(number)) return;
+    if (user_.has_sessions(number)) return;
     for (const auto& link : server(number).links) {
         if (!link->sessions.empty() || !link->connection.is_open()) continue;
         note("server_connection_closing", *link, "the module wants no idle ones");
-        link->leaving = true;
+        link->closing = true;
         link->connection.finish();
     }
 }
--- a/src/agent/server_connections.h
+++ b/src/agent/server_connections.h
@@ -1,5 +1,6 @@
-// The connections to lesson servers: opened for who needs one, kept while something stands there, closed when
-// they rest, with what is to be said on the next one. What is on them is their user's business.
+// The connections to lesson servers: opened when one is needed, kept while sessions stand at the server,
+// replaced when they are silent, closed when they are idle. Messages that find none wait for the next one.
+// What the messages mean is the user's business.
 #pragma once
 
 #include <cstdint>
@@ -38,11 +39,11 @@
 
     class User {
     public:
-        virtual void link_up(Link& link) = 0;
-        virtual void taken(Link& link, const codec::ServerMessage& message) = 0;
-        // What was on it goes elsewhere, or is over; the object lives until the loop's next turn.
-        virtual void link_over(Link& link, net::Connection::End why, Process process) = 0;
-        virtual bool stands(ServerNumber number) const = 0;         // a session, so that a connection is kept
+        virtual void link_writable(Link& link) = 0;
+        virtual void received(Link& link, const codec::ServerMessage& message) = 0;
+        // Its set-ups go elsewhere or are over; the object lives until the loop's next turn.
+        virtual void link_ended(Link& link, net::Connection::End why, Process process) = 0;
+        virtual bool has_sessions(ServerNumber number) const = 0;   // a session, so that a connection is kept
         virtual bool waits_for_answer(const Link& link) const = 0;  // to a set-up written on it
         virtual void probe(Link& link) = 0;                         // asks the server for a sign of life
         virtual void server_silent(ServerNumber number) = 0;        // for so long that its sessions are over
@@ -62,17 +63,17 @@
           silence_(
               silence_limits({limits.note_every, limits.note_late, limits.conn_idle, limits.can_probe})) {}
 
-    Link* for_set_up(ServerNumber number);  // null: there is none to be had
-    // Says it on this connection, on another one there, or on the next one.
-    void speak(ServerNumber number, const Link* preferred, const codec::ServerMessage& message);
+    Link* link_for_set_up(ServerNumber number);  // null: there is none to be had
+    // On the preferred connection, on another open one, or on the next one.
+    void send(ServerNumber number, const Link* preferred, const codec::ServerMessage& message);
     // The same for the release of a session, which is sent again on further connections until it is
     // acknowledged or too old.
     void release(ServerNumber number, const Link* preferred, const codec::ServerMessage& message);
     void release_acknowledged(ServerNumber number, SessionId id);
-    void keep(ServerNumber number);   // one at least, as long as something stands there
-    void heard(ServerNumber number);  // as if it had spoken now
-    bool talks(ServerNumber number) { return talking(server(number), nullptr) != nullptr; }
-    void drop_words(ServerNumber number);
+    void ensure_connection(ServerNumber number);  // one at least, as long as something stands there
+    void heard(ServerNumber number);              // as if it had spoken now
+    bool has_open_link(ServerNumber number) { return open_link(server(number), nullptr) != nullptr; }
+    void drop_pending(ServerNumber number);
     void drop_releases(ServerNumber number);
     void close_idle(ServerNumber number);
     // Whether a connection is there, or a message that waits for one. What is known of a server without goes.
@@ -81,31 +82,31 @@
 private:
     struct Server {
         std::vector<std::shared_ptr<Link>> links;
-        std::vector<std::string> words;  // messages on sessions that wait for a connection
-        double heard = 0;                // something came from there
-        double probed = 0;               // it was first asked for a sign of life since; 0: it was not
-        int vain = 0;                    // connections that timed out since
+        std::vector<std::string> pending;  // messages on sessions that wait for a connection
+        double heard = 0;                  // something came from there
+        double probed = 0;                 // it was first asked for a sign of life since; 0: it was not
+        int timeouts = 0;                  // connections that timed out since
         // One on which sessions stood has ended: what was said on it is said again on the next one.
         bool wants_new = false;
         double opened = 0;                                 // the last connection was begun
         double connect_pause = 0, connect_not_before = 0;  // where releases alone wait for a connection
         std::unique_ptr<RetransmitQueue> releases;         // not acknowledged; null: none
-        std::unique_ptr<net::Timer> watch;
+        std::unique_ptr<net::Timer> maintenance;
     };
     Server& server(ServerNumber number);
-    enum class Need { SetUp, Keep };  // Keep: what stands there, or waits to be said, needs it
+    enum class Need { SetUp, Required };  // Required: by sessions there, or messages that wait
     Link* open(ServerNumber number, Need need);
     bool has_room(Need need);
     bool close_resting();
-    bool is_owed(ServerNumber number, const Server& at) const;
+    bool lacks_connection(ServerNumber number, const Server& at) const;
     bool needs_connection(ServerNumber number, const Server& at) const;
-    Link* other_talking(Server& at, std::uint64_t not_this);
+    Link* other_open_link(Server& at, std::uint64_t not_this);
     void send_releases(ServerNumber number, Link& link);
     void retransmit_releases(ServerNumber number);
-    std::size_t owed() const;
-    Link* talking(Server& at, const Link* preferred);
-    void watch(ServerNumber number);
-    void look_after(ServerNumber number);
+    std::size_t servers_lacking_connection() const;
+    Link* open_link(Server& at, const Link* preferred);
+    void schedule_maintenance(ServerNumber number);
+    void maintain(ServerNumber number);
     void close_rested(ServerNumber number);
     bool is_due_a_probe(ServerNumber number, const Server& at) const;
     void probe_silent(ServerNumber number);
@@ -116,7 +117,7 @@
     void close_now(Link& link, std::string_view why);
     static bool is_connecting(const Server& at);
     void open_wanted(ServerNumber number);
-    bool quiet(const Server& at) const;
+    bool is_overdue(const Server& at) const;
     void ended(Link& link, net::Connection::End why);
     void note(std::string_view event, const Link& link, std::string_view why);
 
@@ -139,7 +140,7 @@
 
     void opened(net::Connection&) override;
     std::size_t received(net::Connection&, std::string_view bytes) override;
-    void writable(net::Connection&) override { all_.user_.link_up(*this); }
+    void writable(net::Connection&) override { all_.user_.link_writable(*this); }
     void ended(net::Connection&, net::Connection::End why) override { all_.ended(*this, why); }
 
     const ServerNumber server;
@@ -150,13 +151,13 @@
     double heard;                  // last bytes from the server, or since when it is there
     bool came_up = false;
     bool avoided = false;  // silent for too long: no set-up goes there
-    bool leaving = false;  // being closed from here
+    bool closing = false;  // being closed from here
 
 private:
-    void break_off(const std::string& why);
+    void close_unreadable(const std::string& why);
 
     ServerConnections& all_;
-    net::Timer patience_;
+    net::Timer line_timer_;
 
 public:
     net::Connection connection;  // last: it may not call back before the rest is there
--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -34,7 +34,7 @@
     for (auto& [tag, probe] : probes_) loop_.deadlines().cancel(probe.end);
 }
 
-bool ServerLinks::stands(ServerNumber number) const {
+bool ServerLinks::has_sessions(ServerNumber number) const {
     const auto it = servers_.find(number);
     return it != servers_.end() && !it->second.standing.empty();
 }
@@ -46,7 +46,7 @@
     });
 }
 
-void ServerLinks::link_over(Link& link, Connection::End why, ServerConnections::Process process) {
+void ServerLinks::link_ended(Link& link, Connection::End why, ServerConnections::Process process) {
     using Process = ServerConnections::Process;
     const ServerNumber number = link.server;
     if (why == Connection::End::Reset || why == Connection::End::PeerClosed)
@@ -86,11 +86,11 @@
 // released as soon as it can be reached.
 void ServerLinks::all_over(ServerNumber number, ServerConnections::Process process) {
     const bool is_gone = process == ServerConnections::Process::Gone;
-    if (stands(number))
+    if (has_sessions(number))
         log_.info("sessions_over", {{"server", std::to_string(number)},
                                     {"sessions", std::to_string(servers_[number].standing.size())},
                                     {"why", is_gone ? "its process is gone" : "it is silent"}});
-    connections_.drop_words(number);
+    connections_.drop_pending(number);
     if (is_gone) connections_.drop_releases(number);
     std::vector<SessionId> over;
     for (const auto& [since, id] : std::exchange(servers_[number].standing, {})) over.push_back(id);
@@ -131,7 +131,7 @@
 
 // Whoever has the server's address now may have taken the set-up before the list told of it.
 void ServerLinks::release_where_connected(const Attempt& attempt) {
-    if (connections_.talks(attempt.server))
+    if (connections_.has_open_link(attempt.server))
         connections_.release(attempt.server, nullptr, word(ServerVerb::Finish, attempt.id, cause_cancelled));
 }
 
@@ -170,7 +170,7 @@
 // ---- Set-ups ----
 
 void ServerLinks::set_up(const Attempt& attempt) {
-    Link* const free = connections_.for_set_up(attempt.server);
+    Link* const free = connections_.link_for_set_up(attempt.server);
     const Entry& entry = place(attempt.id, Entry{attempt, State::Queued, free, loop_.now()});
     if (entry.link == nullptr) return attempt_over(attempt.id, Ending::Unused, {});
     Link& link = *entry.link;
@@ -275,7 +275,7 @@
     if (it->second.state == State::Queued) return;
     ServerMessage message = word(ServerVerb::Rate, id);
     message.fields = {{"rung", std::to_string(rung)}};
-    connections_.speak(it->second.attempt.server, it->second.link, message);
+    connections_.send(it->second.attempt.server, it->second.link, message);
 }
 
 ServerMessage ServerLinks::release_of(SessionId id, const Entry& entry) {
@@ -301,12 +301,12 @@
     entry.since = loop_.now();
     place(id, std::move(entry));
     connections_.heard(number);
-    connections_.keep(number);
+    connections_.ensure_connection(number);
 }
 
 // ---- What servers say ----
 
-void ServerLinks::taken(Link& link, const ServerMessage& message) {
+void ServerLinks::received(Link& link, const ServerMessage& message) {
     const SessionId id = message.session;
     const auto it = entries_.find(id);
     Entry* entry = it != entries_.end() && it->second.attempt.server == link.server ? &it->second : nullptr;
@@ -409,11 +409,11 @@
     Server& at = servers_[said.server];
     constexpr std::size_t most_waiting = 64;
     try {
-        if (at.hands_over) return connections_.speak(said.server, nullptr, message);
+        if (at.hands_over) return connections_.send(said.server, nullptr, message);
         at.prepares.erase(said.session);
         if (said.verb != handover::Verb::Prepare || at.prepares.size() >= most_waiting) return;
         at.prepares.emplace(said.session, encode(message));
-        connections_.keep(said.server);
+        connections_.ensure_connection(said.server);
     } catch (const codec::CodecError&) {  // escaped, the description no longer fits a line: no hand-over then
         log_.warn("handover_too_long", {{"session", codec::to_hex(said.session)}});
     }
@@ -432,7 +432,7 @@
     moved.home_epoch = moved.epoch;
     moved.since = loop_.now();
     place(id, std::move(moved));
-    connections_.keep(number);
+    connections_.ensure_connection(number);
 }
 
 void ServerLinks::set_epoch(SessionId id, std::uint64_t epoch) {
@@ -442,7 +442,7 @@
 void ServerLinks::end_at(SessionId id, ServerNumber number, std::uint64_t epoch) {
     ServerMessage message = word(ServerVerb::Finish, id, cause_cancelled);
     message.fields["epoch"] = std::to_string(epoch);
-    connections_.speak(number, nullptr, message);
+    connections_.send(number, nullptr, message);
 }
 
 void ServerLinks::finished(const ServerMessage& message) {
@@ -468,7 +468,7 @@
     probes_[tag] = Probe{number, now, loop_.deadlines().add(now + probe_timeout_s, [this, tag] {
                              probe_over(tag, Ending::Expired, {});
                          })};
-    connections_.speak(number, nullptr, word(ServerVerb::Echo, tag, 1));
+    connections_.send(number, nullptr, word(ServerVerb::Echo, tag, 1));
 }
 
 void ServerLinks::probe_over(SessionId tag, Ending how, const LoadReport& load) {
--- a/src/agent/server_links.h
+++ b/src/agent/server_links.h
@@ -72,10 +72,10 @@
         net::Deadlines::Key end{0, 0};
     };
 
-    void link_up(Link& link) override { pump(link); }
-    void taken(Link& link, const codec::ServerMessage& message) override;
-    void link_over(Link& link, net::Connection::End why, ServerConnections::Process process) override;
-    bool stands(ServerNumber number) const override;
+    void link_writable(Link& link) override { pump(link); }
+    void received(Link& link, const codec::ServerMessage& message) override;
+    void link_ended(Link& link, net::Connection::End why, ServerConnections::Process process) override;
+    bool has_sessions(ServerNumber number) const override;
     bool waits_for_answer(const Link& link) const override;
     void probe(Link& link) override;
     void server_silent(ServerNumber number) override;
--- a/tests/scenarios/silent_server_test.cpp
+++ b/tests/scenarios/silent_server_test.cpp
@@ -35,6 +35,18 @@
              "");
 }
 
+TEST_CASE("silent server: a session that was handed in ends too") {
+    CHECK_EQ(play(R"(
+        agent send start told=0.3
+        v1 send test 1
+        v1 expect result 1
+        v1 send setup 5 at=s-00000001
+        s1 expect connection
+        v1 expect release 5 cause=41
+    )"),
+             "");
+}
+
 TEST_CASE("silent server: it is told of the sessions' end once it speaks again") {
     CHECK_EQ(play(R"(
         agent send start told=0.3 probes=false
