Open one more connection once a server is heard again whose silent one was closed

Callers: viewers of two sessions never heard that these were over. Once a server is heard again whose silent connection was closed with sessions on it, one more is opened 1 s later; where there is no room a sound one gives way, closed in order. Class: what is written to a peer that has gone is lost, here by the server.

--- a/src/agent/server_connections.cpp
+++ b/src/agent/server_connections.cpp
@@ -24,6 +24,8 @@
 // server may hang or be cut off.
 constexpr RetransmitQueue::Times release_times{30, 1};
 constexpr std::size_t most_releases = 1024;  // of one server
+constexpr double closed_heard_within_s =
+    1;  // by a server that is heard again, of connections closed meanwhile
 constexpr double longest_connect_pause_s = 4;
 constexpr int timeouts_to_vanish = 2;  // that time out in a row before a silent machine counts as gone
 
@@ -105,6 +107,7 @@
     at.heard = loop_.now();
     at.probed = 0;
     at.connect_pause = at.connect_not_before = 0;
+    if (std::exchange(at.closed_silent, false)) at.reopen_at = loop_.now() + closed_heard_within_s;
 }
 
 void ServerConnections::drop_releases(ServerNumber number) {
@@ -301,6 +304,10 @@
     Server& at = server(number);
     close_rested(number);
     retransmit_releases(number);
+    if (at.reopen_at > 0 && loop_.now() >= at.reopen_at) {
+        at.reopen_at = 0;
+        at.wants_new = true;
+    }
     probe_silent(number);
     if (user_.has_sessions(number)) replace_silent(number);
     end_if_silent(number);
@@ -320,6 +327,7 @@
         if (link->closing || needed || !link->connection.is_open()) continue;
         const double idle_s = link->avoided ? limits_.conn_idle : close_part_of_idle * limits_.conn_idle;
         if (limits_.conn_idle <= 0 || now < link->used + idle_s) continue;
+        at.closed_silent = at.closed_silent || !link->sessions.empty();
         note("server_connection_closing", *link, "idle");
         link->closing = true;
         --staying;
@@ -395,6 +403,17 @@
                        [](const auto& link) { return !link->closing && !link->connection.is_open(); });
 }
 
+// Where one more is wanted and all are sound, one of them gives way.
+void ServerConnections::make_room_in_order(Server& at) {
+    for (const auto& link : at.links) {
+        const bool may_go = link->connection.is_open() && !link->closing && !user_.waits_for_answer(*link);
+        if (!at.wants_new || !may_go) continue;
+        note("server_connection_closing", *link, "room for the one in its place");
+        link->closing = true;
+        return link->connection.finish();
+    }
+}
+
 // The next connection that is needed, in place of a silent one where there is no room.
 void ServerConnections::open_wanted(ServerNumber number) {
     Server& at = server(number);
@@ -402,7 +421,8 @@
     // The links are in the order in which they were opened.
     const auto avoided =
         std::find_if(at.links.begin(), at.links.end(), [](const auto& link) { return link->avoided; });
-    if (avoided == at.links.end()) return;
+    if (avoided == at.links.end()) return make_room_in_order(at);
+    at.closed_silent = at.closed_silent || !(*avoided)->sessions.empty();
     close_now(**avoided, "room for the one in its place");
     open(number, Need::Required);
 }
--- a/src/agent/server_connections.h
+++ b/src/agent/server_connections.h
@@ -88,6 +88,10 @@
         int timeouts = 0;                  // connections that timed out since
         // One on which sessions stood has ended: what was said on it is said again on the next one.
         bool wants_new = false;
+        // A silent connection with sessions was closed from here: what the server says on it before it hears
+        // of that is said again on the next one after this time, once the server is heard again.
+        bool closed_silent = false;
+        double reopen_at = 0;                              // 0: not set
         double opened = 0;                                 // the last connection was begun
         double connect_pause = 0, connect_not_before = 0;  // where releases alone wait for a connection
         std::unique_ptr<RetransmitQueue> releases;         // not acknowledged; null: none
@@ -116,6 +120,7 @@
     void replace_silent(ServerNumber number);
     void close_now(Link& link, std::string_view why);
     static bool is_connecting(const Server& at);
+    void make_room_in_order(Server& at);
     void open_wanted(ServerNumber number);
     bool is_overdue(const Server& at) const;
     void ended(Link& link, net::Connection::End why);
--- a/tests/scenarios/silent_server_test.cpp
+++ b/tests/scenarios/silent_server_test.cpp
@@ -9,10 +9,11 @@
 
 namespace {
 
-std::string stands(int session, const std::string& server, const std::string& fields = "") {
+std::string stands(int session, const std::string& server, const std::string& fields = "",
+                   const std::string& viewer = "v1") {
     const std::string id = std::to_string(session);
-    return "v1 send setup " + id + " " + fields + "\n" + server + " expect START " + id + "\n" + server +
-           " send STARTED " + id + "\nv1 expect answer " + id + "\n";
+    return viewer + " send setup " + id + " " + fields + "\n" + server + " expect START " + id + "\n" +
+           server + " send STARTED " + id + "\n" + viewer + " expect answer " + id + "\n";
 }
 
 }  // namespace
@@ -102,6 +103,21 @@
              "");
 }
 
+TEST_CASE("server that speaks again after its silent connection was closed: one more new one comes") {
+    std::string lines = "agent send start sockets=32 told=4\n";  // four connections to servers
+    for (int i = 1; i <= 4; ++i)
+        lines += stands(i, "s" + std::to_string(i), "home=" + std::to_string(i - 1) + " copies=1",
+                        "v" + std::to_string(i));
+    CHECK_EQ(play(lines + R"(
+        s1 expect connection
+        s1 send NOTICE 1 note=local value=0.1
+        s1 expect connection 4.5               # s1 wrote its release to the first one, which was closed
+        s1 send FINISH 1 rc=16
+        v1 expect release 1 cause=16
+    )"),
+             "");
+}
+
 TEST_CASE("silent connections up to the most to one server: a new one takes the place of one") {
     std::string lines = "agent send start told=0.3 streams=1\n";
     for (int i = 1; i <= 6; ++i) lines += stands(i, "s1", "home=0 copies=1");
