--- a/lab/model/server.cpp
+++ b/lab/model/server.cpp
@@ -148,7 +148,9 @@
         if (loop_.now() <= at + owed_for_s && told.insert(agent).second) connection.send(text);
     }
     if (const auto owed = owed_.find(agent); owed != owed_.end()) {
-        for (const std::string& text : owed->second) connection.send(text);
+        for (const auto& [at, text] : owed->second) {
+            if (loop_.now() <= at + owed_for_s) connection.send(text);
+        }
         owed_.erase(owed);
     }
 }
@@ -194,26 +196,30 @@
     if (Connection* to = connection(number)) to->send(encode(message));
 }
 
-// On the connection of its set-up, or any open one of its agent, or the next one.
+// On the connection of its set-up, or any open one of its agent; a release on the next one too.
 void LessonServer::say(const Held& held, const Message& message) {
     if (held.orphan && message.verb == ServerVerb::Finish) return say_to_all(encode(message));
+    if (message.verb == ServerVerb::Finish) {
+        auto& owed = owed_[held.agent];
+        owed.emplace_back(loop_.now(), encode(message));
+        while (owed.front().first < loop_.now() - owed_for_s) owed.pop_front();
+    }
     if (Connection* own = connection(held.connection); own != nullptr && own->is_open())
         return own->send(encode(message));
     for (const auto& [number, agent] : agent_of_) {
         Connection* other = agent == held.agent ? connection(number) : nullptr;
         if (other != nullptr && other->is_open()) return other->send(encode(message));
     }
-    if (message.verb == ServerVerb::Finish) owed_[held.agent].push_back(encode(message));
 }
 
-// Whoever has taken the session over since hears of its end, now or on its next connection.
+// Whoever has taken the session over since hears of its end, now and on its next connection.
 void LessonServer::say_to_all(const std::string& text) {
-    std::set<std::uint64_t> told;
+    std::set<std::uint64_t> sent;
     for (const auto& [number, agent] : agent_of_) {
         Connection* other = connection(number);
-        if (other != nullptr && other->is_open() && told.insert(agent).second) other->send(text);
+        if (other != nullptr && other->is_open() && sent.insert(agent).second) other->send(text);
     }
-    owed_all_.push_back({loop_.now(), text, std::move(told)});
+    owed_all_.push_back({loop_.now(), text, {}});
     while (owed_all_.front().at < loop_.now() - owed_for_s) owed_all_.pop_front();
 }
 
--- a/lab/model/server.h
+++ b/lab/model/server.h
@@ -87,9 +87,10 @@
     std::mt19937_64 random_;
     jasperspread::handover::TicketKeys keys_;
     std::map<SessionId, Held> sessions_;
-    std::map<SessionId, std::uint64_t> fences_;               // of sessions that have gone
-    std::map<std::uint64_t, std::uint64_t> agent_of_;         // by connection
-    std::map<std::uint64_t, std::vector<std::string>> owed_;  // by agent: words for its next connection
+    std::map<SessionId, std::uint64_t> fences_;        // of sessions that have gone
+    std::map<std::uint64_t, std::uint64_t> agent_of_;  // by connection
+    // By agent: releases for its next connection, and since when.
+    std::map<std::uint64_t, std::deque<std::pair<double, std::string>>> owed_;
     struct OwedToAll {
         double at = 0;
         std::string text;
