--- a/lab/run/rules_plan.cpp
+++ b/lab/run/rules_plan.cpp
@@ -65,7 +65,7 @@
     world.rack_part = 1.2;
     world.arrivals_per_s = arrivals_for(world, 0.9);
     world.gives_up_part = 0.05;
-    plan.seconds = 10;
+    plan.seconds = 15;
     plan.settles_s = 11;
     using enum Trouble;
     world.agents_remember = true;
@@ -74,8 +74,8 @@
     plan.faults = {{1.0, 7.0, FreezeServer, 0, 0, 0}, {1.0, 2.0, FreezeServer, 3, 0, 0},
                    {2.4, 0.5, KillServer, 3, 0, 0},   {2.5, 4.0, Rush, 0, 0, 1.5},
                    {3.0, 5.0, DrainServer, 2, 0, 0},  {1.8, 0.5, KillAgent, 0, 0, 0},
-                   {6.0, 0.5, KillServer, 1, 0, 0},   {7.0, 1.0, FreezeServer, 3, 0, 0},
-                   {7.6, 0.3, KillServer, 3, 0, 0}};
+                   {6.0, 0.5, KillServer, 1, 0, 0},   {11.0, 1.0, FreezeServer, 3, 0, 0},
+                   {11.6, 0.3, KillServer, 3, 0, 0}};
     return plan;
 }
 
