--- a/tests/scenarios/scenario.h
+++ b/tests/scenarios/scenario.h
@@ -14,9 +14,8 @@
 //   v1 begin setup 7, v1 complete        half of a message, and later the other half
 //   s1 expect START 7 rung=1             the same for a server, whose messages may come on any connection
 //   s1 send STARTED 7 blob=there         also text=LINE as it stands, part=TEXT without its line feed
-//   s1 expect connection [0.5]           one more than it has accepted, within so long; what s1 sends from
-//   here
-//                                        on goes there
+//   s1 expect connection [0.5]           one more than it has accepted, within so long, s; what s1 sends from
+//                                        then on goes there
 //   feed expect after=3, feed send n=4 s1=draining, feed send comment, feed deaf, feed hear
 //   feed send n=4 s3=at:s1               a new server at the address of another one
 //   feed send n=4 revision=9             where the list's revision is not the event's number
