--- a/src/agent/server_connections.cpp
+++ b/src/agent/server_connections.cpp
@@ -405,6 +405,9 @@
 
 // Where one more is wanted and all are sound, one of them gives way.
 void ServerConnections::make_room_in_order(Server& at) {
+    const bool under_way =
+        std::any_of(at.links.begin(), at.links.end(), [](const auto& link) { return link->closing; });
+    if (under_way) return;
     for (const auto& link : at.links) {
         const bool may_go = link->connection.is_open() && !link->closing && !user_.waits_for_answer(*link);
         if (!at.wants_new || !may_go) continue;
@@ -417,7 +420,8 @@
 // The next connection that is needed, in place of a silent one where there is no room.
 void ServerConnections::open_wanted(ServerNumber number) {
     Server& at = server(number);
-    if (is_connecting(at) || open(number, Need::Required) != nullptr) return;
+    if (directory_.find(number) == nullptr || is_connecting(at)) return;
+    if (open(number, Need::Required) != nullptr) return;
     // The links are in the order in which they were opened.
     const auto avoided =
         std::find_if(at.links.begin(), at.links.end(), [](const auto& link) { return link->avoided; });
@@ -437,15 +441,15 @@
     loop_.retire(*self);
     at.links.erase(self);
     --links_;
-    // A server at its cap of connections refuses too, but keeps those that it has; one that has left the list
-    // and refuses is gone, though it may not have closed them, and so is one that broke its last one: another
-    // server may have its address by the time of the next connect.
     if (at.releases) at.releases->connection_lost(link.number, loop_.now());
     if (!link.came_up) {
         at.connect_pause = std::clamp(2 * at.connect_pause, maintain_every_s, longest_connect_pause_s);
         at.connect_not_before = loop_.now() + at.connect_pause;
     }
     at.wants_new = at.wants_new || (link.came_up && !link.sessions.empty());
+    // A server at its cap of connections refuses too, but keeps those that it has; one that has left the list
+    // and refuses is gone, though it may not have closed them, and so is one that broke its last one: another
+    // server may have its address by the time of the next connect.
     const KnownServer* known = directory_.find(number);
     const bool left = known == nullptr || known->entry.state == cinderfront::ServerState::Gone;
     const bool broken = why == Connection::End::Reset || why == Connection::End::PeerClosed;
--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -96,7 +96,9 @@
     for (const auto& [since, id] : std::exchange(servers_[number].standing, {})) over.push_back(id);
     std::sort(over.begin(), over.end());
     for (const SessionId id : over) {
-        const Entry entry = entries_.at(id);
+        const auto it = entries_.find(id);
+        if (it == entries_.end()) continue;  // the end of an earlier one has ended it
+        const Entry entry = it->second;
         erase(id);
         events_.session_ended(id, Ending::Dropped, {});
         if (!is_gone) connections_.release(number, nullptr, release_of(id, entry));
