Count the connections that stay in one place, and look a server up once for what it says

The idle time after which a connection rests stood twice (0.6): silence_limits has it. What a server says looked it up twice: note_heard() takes the entry.

--- a/src/agent/server_connections.cpp
+++ b/src/agent/server_connections.cpp
@@ -12,9 +12,9 @@
 namespace {
 
 constexpr std::size_t links_per_server = 6;
-// Parts of the server's idle time: no set-up goes out on a connection that rested longer, and no connection
-// that nothing needs is kept longer. The server's own close must never meet a set-up.
-constexpr double stale_part_of_idle = 0.7, close_part_of_idle = 0.6;
+// Part of the server's idle time: no set-up goes out on a connection that rested longer. The server's own
+// close must never meet a set-up.
+constexpr double stale_part_of_idle = 0.7;
 constexpr double maintain_every_s = 0.25;
 // A connection must have rested so long before it makes room: what was said last on it has been read by then.
 constexpr double rested_s = 0.25;
@@ -59,7 +59,7 @@
 std::size_t ServerConnections::Link::received(Connection&, std::string_view bytes) {
     std::size_t consumed = 0;
     Server& at = all_.server(server);
-    all_.heard(server);
+    all_.note_heard(at);
     heard = used = all_.loop_.now();
     at.timeouts = 0;
     avoided = false;
@@ -103,7 +103,10 @@
 }
 
 void ServerConnections::heard(ServerNumber number) {
-    Server& at = server(number);
+    note_heard(server(number));
+}
+
+void ServerConnections::note_heard(Server& at) {
     at.heard = loop_.now();
     at.probed = 0;
     at.connect_pause = at.connect_not_before = 0;
@@ -127,6 +130,11 @@
     return false;
 }
 
+std::size_t ServerConnections::staying(const Server& at) {
+    return static_cast<std::size_t>(
+        std::count_if(at.links.begin(), at.links.end(), [](const auto& link) { return !link->closing; }));
+}
+
 bool ServerConnections::needs_connection(ServerNumber number, const Server& at) const {
     return user_.has_sessions(number) || !at.pending.empty() || at.releases;
 }
@@ -135,7 +143,7 @@
 bool ServerConnections::lacks_connection(ServerNumber number, const Server& at) const {
     if (!needs_connection(number, at)) return false;
     if (at.wants_new) return !is_connecting(at);
-    return std::all_of(at.links.begin(), at.links.end(), [](const auto& link) { return link->closing; });
+    return staying(at) == 0;
 }
 
 std::size_t ServerConnections::servers_lacking_connection() const {
@@ -162,9 +170,7 @@
 bool ServerConnections::close_resting() {
     Link* oldest = nullptr;
     for (const auto& [number, at] : servers_) {
-        std::size_t staying = 0;
-        for (const auto& link : at.links) staying += link->closing ? 0 : 1;
-        const bool last_is_needed = user_.has_sessions(number) && staying <= 1;
+        const bool last_is_needed = user_.has_sessions(number) && staying(at) <= 1;
         for (const auto& link : at.links) {
             const bool rests = link->connection.is_open() && !link->closing && link->sessions.empty() &&
                                link->used + rested_s <= loop_.now() && !link->connection.has_unread();
@@ -284,11 +290,9 @@
 
 void ServerConnections::ensure_connection(ServerNumber number) {
     Server& at = server(number);
-    const bool has =
-        std::any_of(at.links.begin(), at.links.end(), [](const auto& link) { return !link->closing; });
     const bool is_urgent = user_.has_sessions(number) || !at.pending.empty();
     const bool may_open = is_urgent || loop_.now() >= at.connect_not_before;
-    if ((!has || at.wants_new) && may_open) open_wanted(number);
+    if ((staying(at) == 0 || at.wants_new) && may_open) open_wanted(number);
     schedule_maintenance(number);
 }
 
@@ -319,18 +323,15 @@
 void ServerConnections::close_rested(ServerNumber number) {
     Server& at = server(number);
     const double now = loop_.now();
-    std::size_t staying = 0;
-    for (const auto& link : at.links) staying += link->closing ? 0 : 1;
     for (const auto& link : at.links) {
         const bool has_sessions = !link->sessions.empty() && !link->avoided;
-        const bool needed = has_sessions || (staying == 1 && user_.has_sessions(number));
+        const bool needed = has_sessions || (staying(at) == 1 && user_.has_sessions(number));
         if (link->closing || needed || !link->connection.is_open()) continue;
-        const double idle_s = link->avoided ? limits_.conn_idle : close_part_of_idle * limits_.conn_idle;
+        const double idle_s = link->avoided ? limits_.conn_idle : silence_.idle_after;
         if (limits_.conn_idle <= 0 || now < link->used + idle_s) continue;
         at.closed_silent = at.closed_silent || !link->sessions.empty();
         note("server_connection_closing", *link, "idle");
         link->closing = true;
-        --staying;
         link->connection.finish();
     }
 }
@@ -372,9 +373,7 @@
 // Sessions rely on it, and it may be dead, or forgotten by the server.
 bool ServerConnections::is_silent(const Server& at, const Link& link) const {
     if (!link.connection.is_open() || link.closing) return false;
-    const auto staying =
-        std::count_if(at.links.begin(), at.links.end(), [](const auto& other) { return !other->closing; });
-    if (link.sessions.empty() && staying > 1) return false;
+    if (link.sessions.empty() && staying(at) > 1) return false;
     const double now = loop_.now();
     const bool rests = now > link.used + silence_.idle_after && !user_.waits_for_answer(link);
     return rests || now > link.heard + silence_.replace_after;
@@ -405,8 +404,7 @@
 
 // Where one more is wanted and all are sound, one of them gives way.
 void ServerConnections::make_room_in_order(Server& at) {
-    const bool under_way =
-        std::any_of(at.links.begin(), at.links.end(), [](const auto& link) { return link->closing; });
+    const bool under_way = staying(at) < at.links.size();
     if (under_way) return;
     for (const auto& link : at.links) {
         const bool may_go = link->connection.is_open() && !link->closing && !user_.waits_for_answer(*link);
--- a/src/agent/server_connections.h
+++ b/src/agent/server_connections.h
@@ -102,6 +102,8 @@
     Link* open(ServerNumber number, Need need);
     bool has_room(Need need);
     bool close_resting();
+    static std::size_t staying(const Server& at);  // connections that are not being closed from here
+    void note_heard(Server& at);
     bool lacks_connection(ServerNumber number, const Server& at) const;
     bool needs_connection(ServerNumber number, const Server& at) const;
     Link* other_open_link(Server& at, std::uint64_t not_this);
--- a/src/agent/silence_limits.cpp
+++ b/src/agent/silence_limits.cpp
@@ -12,7 +12,8 @@
 constexpr double probe_at_most_s = 5.5, answer_s = 0.6;
 constexpr double probe_without_notes_s = 4;
 constexpr double over_after_s = 7.2;  // of the 8 s in which ends must be told
-// Part of the server's idle time: its own close must never meet what it has to say.
+// Part of the time after which the server closes an idle connection: its close must never meet what it has to
+// say.
 constexpr double idle_part = 0.6;
 
 }  // namespace
--- a/tests/scenarios/silent_server_test.cpp
+++ b/tests/scenarios/silent_server_test.cpp
@@ -16,6 +16,22 @@
            server + " send STARTED " + id + "\n" + viewer + " expect answer " + id + "\n";
 }
 
+// Sessions 1 to 4 of v1 to v4 at s1 to s4: as many servers as sockets=32 has connections for.
+std::string stand_at_four() {
+    std::string lines;
+    for (int i = 1; i <= 4; ++i) {
+        const std::string number = std::to_string(i);
+        lines += stands(i, "s" + number, "home=" + std::to_string(i - 1) + " copies=1", "v" + number);
+    }
+    return lines;
+}
+
+constexpr const char* released_on_a_new_connection = R"(
+        s1 expect connection
+        s1 send FINISH 1 rc=16
+        v1 expect release 1 cause=16
+    )";
+
 }  // namespace
 
 TEST_CASE("silent server: its sessions end though its new connections come up") {
@@ -92,22 +108,12 @@
 }
 
 TEST_CASE("silent connection where no further one may be opened: a new one takes its place") {
-    std::string lines = "agent send start sockets=32 told=0.3\n";  // four connections to servers
-    for (int i = 1; i <= 4; ++i)
-        lines += stands(i, "s" + std::to_string(i), "home=" + std::to_string(i - 1) + " copies=1");
-    CHECK_EQ(play(lines + R"(
-        s1 expect connection
-        s1 send FINISH 1 rc=16
-        v1 expect release 1 cause=16
-    )"),
-             "");
+    const std::string lines = "agent send start sockets=32 told=0.3\n" + stand_at_four();
+    CHECK_EQ(play(lines + released_on_a_new_connection), "");
 }
 
 TEST_CASE("server that speaks again after its silent connection was closed: one more new one comes") {
-    std::string lines = "agent send start sockets=32 told=4\n";  // four connections to servers
-    for (int i = 1; i <= 4; ++i)
-        lines += stands(i, "s" + std::to_string(i), "home=" + std::to_string(i - 1) + " copies=1",
-                        "v" + std::to_string(i));
+    const std::string lines = "agent send start sockets=32 told=4\n" + stand_at_four();
     CHECK_EQ(play(lines + R"(
         s1 expect connection
         s1 send NOTICE 1 note=local value=0.1
@@ -121,12 +127,7 @@
 TEST_CASE("silent connections up to the most to one server: a new one takes the place of one") {
     std::string lines = "agent send start told=0.3 streams=1\n";
     for (int i = 1; i <= 6; ++i) lines += stands(i, "s1", "home=0 copies=1");
-    CHECK_EQ(play(lines + R"(
-        s1 expect connection
-        s1 send FINISH 1 rc=16
-        v1 expect release 1 cause=16
-    )"),
-             "");
+    CHECK_EQ(play(lines + released_on_a_new_connection), "");
 }
 
 TEST_CASE("release written to a connection that breaks unread: it is sent on the next one") {
