Keep the port of a laboratory's party that is away from being given to another

Left, and not seen itself: while a server is dead its port is free, and a server that replaces another binds up to eight ports that the kernel chooses, at the same address. A socket that is bound and never listens keeps each port now. Test: an address that is reserved can't be bound by another, and refuses who connects, before and after its party has listened there.

--- a/lab/run/files.cpp
+++ b/lab/run/files.cpp
@@ -1,12 +1,14 @@
 #include "lab/run/files.h"
 
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
 #include <cerrno>
 #include <fstream>
 #include <stdexcept>
+#include <system_error>
 
 namespace lab {
 
@@ -36,6 +38,16 @@
                                              "." + part(0) + ":0");
 }
 
+ReservedAddress::ReservedAddress()
+    : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)), address_(own_loopback_address()) {
+    const int on = 1;
+    socklen_t size = sizeof address_.in;
+    const bool is_bound = ::setsockopt(fd_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0 &&
+                          ::bind(fd_.get(), address_.raw(), size) == 0 &&
+                          ::getsockname(fd_.get(), reinterpret_cast<sockaddr*>(&address_.in), &size) == 0;
+    if (!is_bound) throw std::system_error(errno, std::generic_category(), "can't reserve an address");
+}
+
 void write_fleet_section(std::ostream& yaml, const jasperspread::fleet::Settings& settings) {
     yaml << "fleet:\n  key_file: " << settings.key_file << "\n  listen: " << settings.listen;
     if (!settings.advertise.empty()) yaml << "\n  advertise: " << settings.advertise;
--- a/lab/run/socket_world.cpp
+++ b/lab/run/socket_world.cpp
@@ -46,8 +46,8 @@
         make_folder(own.folder);
         own.process = std::make_unique<AgentProcess>(own.folder + "/log");
         own.feed = std::make_unique<Feed>(loop_, plan_);
-        own.feed_at = own.feed->listen(own_loopback_address());
-        own.listen = own_loopback_address();
+        own.feed_at = own.feed->listen(reserve_address());
+        own.listen = reserve_address();
         const auto seed = plan_.seed * 7919 + static_cast<std::uint64_t>(agent);
         for (int server = 0; server < next_spare_; ++server) {
             auto address = server_at_[static_cast<std::size_t>(server)][static_cast<std::size_t>(agent)];
@@ -55,7 +55,7 @@
                 own.to_servers.push_back(std::make_unique<Relay>(loop_, seed + 31));
                 own.to_servers.back()->lead_to(address);
                 own.to_servers.back()->delay(options_.delay_s, options_.delay_s);
-                address = own.to_servers.back()->listen(own_loopback_address());
+                address = own.to_servers.back()->listen(reserve_address());
             }
             own.feed->add({server, address, "up", 0});
         }
@@ -90,6 +90,10 @@
     loop_.deadlines().add(now() + seconds, std::move(what));
 }
 
+jasperspread::net::Address SocketWorld::reserve_address() {
+    return reserved_.emplace_back().address();
+}
+
 void SocketWorld::start_server(int server) {
     const auto at = static_cast<std::size_t>(server);
     auto& made = servers_[at];
@@ -98,7 +102,7 @@
     auto& addresses = server_at_[at];
     // A listener for each agent tells whose connection it is: all come from one address here.
     for (std::size_t agent = 0; agent < agents_.size(); ++agent) {
-        if (addresses.size() <= agent) addresses.push_back(own_loopback_address());
+        if (addresses.size() <= agent) addresses.push_back(reserve_address());
         addresses[agent] = made->listen(addresses[agent], agent + 1);
     }
     ledger_.server_trouble(server, false, now());
@@ -197,7 +201,7 @@
     if (options_.relayed && !own.from_viewers) {
         own.from_viewers = std::make_unique<Relay>(loop_, plan_.seed + 17);
         own.from_viewers->delay(options_.delay_s, options_.delay_s);
-        own.listens = own.from_viewers->listen(own_loopback_address());
+        own.listens = own.from_viewers->listen(reserve_address());
     }
     if (own.from_viewers) own.from_viewers->lead_to(own.listen);
     if (!std::exchange(own.viewers_began, true)) own.viewers->start(own.listens);
--- a/lab/run/socket_world.h
+++ b/lab/run/socket_world.h
@@ -14,6 +14,7 @@
 #include "lab/model/viewers.h"
 #include "lab/run/agent_process.h"
 #include "lab/run/datagram_relay.h"
+#include "lab/run/files.h"
 #include "lab/run/relay.h"
 #include "lab/soak/bad_clients.h"
 #include "net/loop.h"
@@ -97,6 +98,7 @@
         double up_since = 0;  // of its machine; 0: for long
     };
     Slot& slot(int agent) { return agents_[static_cast<std::size_t>(agent)]; }
+    jasperspread::net::Address reserve_address();
     void start_server(int server);
     void start_agent(int agent);
     void write_settings(const Slot& own, const std::string& key) const;
@@ -115,6 +117,7 @@
 
     WorldPlan plan_;
     const SocketOptions options_;
+    std::vector<ReservedAddress> reserved_;
     jasperspread::net::SystemKernel kernel_;
     jasperspread::net::Loop loop_;
     Fleet fleet_;
--- a/tests/lab/relay_test.cpp
+++ b/tests/lab/relay_test.cpp
@@ -25,6 +25,28 @@
 
 }  // namespace
 
+TEST_CASE("relay: the address of a party that is away is given to nobody else, and refuses who connects") {
+    net::SystemKernel kernel;
+    const ReservedAddress reserved;
+    const auto bind_elsewhere = [&] {
+        const net::Fd other(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), &kernel);
+        return ::bind(other.get(), reserved.address().raw(), sizeof reserved.address().in);
+    };
+    const auto connect = [&] {
+        const net::Fd caller(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), &kernel);
+        return ::connect(caller.get(), reserved.address().raw(), sizeof reserved.address().in);
+    };
+    constexpr int lives = 3;
+    for (int life = 0; life < lives; ++life) {
+        CHECK_EQ(bind_elsewhere(), -1);
+        CHECK_EQ(connect(), -1);
+        net::Loop loop(kernel);
+        LineParty party(loop, [](std::uint64_t, std::string_view) {});
+        CHECK_EQ(party.listen(reserved.address()), reserved.address());
+        CHECK_EQ(connect(), 0);
+    }
+}
+
 TEST_CASE("relay: what comes before its own connect is up arrives, and what it has passed is counted") {
     net::SystemKernel kernel;
     net::Loop loop(kernel);
