Let a server without a connection go before replacements of silent ones

Callers: three viewers heard 5 s late that their sessions were over. A replacement leaves room for servers that have no connection now, and for such a server a silent connection that has been replaced is closed. Scenario 'silent connection beside its replacement: it gives way to a server that has none': no connection before, passes now. The order of the two at one free place is by reading. Class: two needs of one rank that are not.

--- a/src/agent/server_connections.cpp
+++ b/src/agent/server_connections.cpp
@@ -141,31 +141,52 @@
 
 // Whether a server needs a connection that is not there: it could tell of no end.
 bool ServerConnections::lacks_connection(ServerNumber number, const Server& at) const {
-    if (!needs_connection(number, at)) return false;
-    if (at.wants_new) return !is_connecting(at);
-    return staying(at) == 0;
+    return staying(at) == 0 && needs_connection(number, at);
 }
 
-std::size_t ServerConnections::servers_lacking_connection() const {
+bool ServerConnections::wants_replacement(ServerNumber number, const Server& at) const {
+    return at.wants_new && !is_connecting(at) && needs_connection(number, at);
+}
+
+// How many servers need a connection more than this.
+std::size_t ServerConnections::servers_before(Need need) const {
     return static_cast<std::size_t>(
-        std::count_if(servers_.begin(), servers_.end(),
-                      [this](const auto& entry) { return lacks_connection(entry.first, entry.second); }));
+        std::count_if(servers_.begin(), servers_.end(), [this, need](const auto& entry) {
+            const auto& [number, at] = entry;
+            return lacks_connection(number, at) || (need == Need::SetUp && wants_replacement(number, at));
+        }));
 }
 
-// At the bound, connections that rest make room. What is owed to servers goes before new set-ups.
+// At the bound, connections that rest make room, and for a server that has none also silent ones that have
+// been replaced. Servers without a connection go before replacements, and these before new set-ups.
 bool ServerConnections::has_room(Need need) {
     const auto fits = [&] {
         if (links_ >= limits_.connections) return false;
         const bool may_be_short = links_ + servers_.size() >= limits_.connections;
-        return need == Need::Required || !may_be_short ||
-               links_ + servers_lacking_connection() < limits_.connections;
+        return need == Need::Required || !may_be_short || links_ + servers_before(need) < limits_.connections;
     };
     while (!fits()) {
-        if (!close_resting()) return false;
+        const bool made = close_resting() || (need == Need::Required && close_replaced());
+        if (!made) return false;
     }
     return true;
 }
 
+// Closes a silent connection beside which another one is open; false: there is none.
+bool ServerConnections::close_replaced() {
+    for (auto& [number, at] : servers_) {
+        const auto replaced = std::find_if(at.links.begin(), at.links.end(), [this](const auto& link) {
+            return link->avoided && link->connection.is_open() && !link->closing &&
+                   !user_.waits_for_answer(*link);
+        });
+        if (replaced == at.links.end() || staying(at) <= 1) continue;
+        at.closed_silent = at.closed_silent || !(*replaced)->sessions.empty();
+        close_now(**replaced, "room for one that is needed");
+        return true;
+    }
+    return false;
+}
+
 // Closes the connection that rested longest of those that nothing needs; false: there is none.
 bool ServerConnections::close_resting() {
     Link* oldest = nullptr;
@@ -419,7 +440,8 @@
 void ServerConnections::open_wanted(ServerNumber number) {
     Server& at = server(number);
     if (directory_.find(number) == nullptr || is_connecting(at)) return;
-    if (open(number, Need::Required) != nullptr) return;
+    const Need need = staying(at) == 0 ? Need::Required : Need::Replacement;
+    if (open(number, need) != nullptr) return;
     // The links are in the order in which they were opened.
     const auto avoided =
         std::find_if(at.links.begin(), at.links.end(), [](const auto& link) { return link->avoided; });
--- a/src/agent/server_connections.h
+++ b/src/agent/server_connections.h
@@ -98,10 +98,13 @@
         std::unique_ptr<net::Timer> maintenance;
     };
     Server& server(ServerNumber number);
-    enum class Need { SetUp, Required };  // Required: by sessions there, or messages that wait
+    // Replacement: of a silent connection, or after one that has ended; Required: by sessions or messages of
+    // a server that has none.
+    enum class Need { SetUp, Replacement, Required };
     Link* open(ServerNumber number, Need need);
     bool has_room(Need need);
     bool close_resting();
+    bool close_replaced();
     static std::size_t staying(const Server& at);  // connections that are not being closed from here
     void note_heard(Server& at);
     bool lacks_connection(ServerNumber number, const Server& at) const;
@@ -109,7 +112,8 @@
     Link* other_open_link(Server& at, std::uint64_t not_this);
     void send_releases(ServerNumber number, Link& link);
     void retransmit_releases(ServerNumber number);
-    std::size_t servers_lacking_connection() const;
+    bool wants_replacement(ServerNumber number, const Server& at) const;
+    std::size_t servers_before(Need need) const;
     Link* open_link(Server& at, const Link* preferred);
     void schedule_maintenance(ServerNumber number);
     void maintain(ServerNumber number);
--- a/tests/scenarios/silent_server_test.cpp
+++ b/tests/scenarios/silent_server_test.cpp
@@ -124,6 +124,23 @@
              "");
 }
 
+TEST_CASE("silent connection beside its replacement: it gives way to a server that has none") {
+    std::string lines = "agent send start sockets=32 told=2 probes=false\n";  // four connections to servers
+    for (int i = 1; i <= 3; ++i)
+        lines += stands(i, "s" + std::to_string(i), "home=" + std::to_string(i - 1) + " copies=1");
+    for (int i = 0; i < 10; ++i) {
+        lines += "s2 send NOTICE 2 note=local value=0.1\ns3 send NOTICE 3 note=local value=0.1\nwait 0.4\n";
+    }
+    CHECK_EQ(play(lines + R"(
+        s1 expect connection
+        v1 send setup 5 class=paid wait=5000 home=0 copies=1
+        s1 expect START 5
+        v1 send setup 9 at=s-00000004
+        s4 expect connection 2
+    )"),
+             "");
+}
+
 TEST_CASE("silent connections up to the most to one server: a new one takes the place of one") {
     std::string lines = "agent send start told=0.3 streams=1\n";
     for (int i = 1; i <= 6; ++i) lines += stands(i, "s1", "home=0 copies=1");
