Log at level info how connections to servers with sessions are lost, and what they held

The report's log, at level info, names no connection of the servers concerned: whether one was open, dead, or never came up can't be told from it. A line now where a connection to a server with sessions falls silent, is lost or the first of a row does not come up, and where releases come as soon as one is open.

--- a/src/agent/server_connections.cpp
+++ b/src/agent/server_connections.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "codec/error.h"
+#include "codec/message.h"
 
 namespace jasperspread::agent {
 
@@ -27,7 +28,8 @@
 constexpr double closed_heard_within_s =
     1;  // by a server that is heard again, of connections closed meanwhile
 constexpr double longest_connect_pause_s = 4;
-constexpr int timeouts_to_vanish = 2;  // that time out in a row before a silent machine counts as gone
+constexpr double held_release_within_s = 1;  // of a new connection's opening
+constexpr int timeouts_to_vanish = 2;        // that time out in a row before a silent machine counts as gone
 
 }  // namespace
 
@@ -45,8 +47,8 @@
 void ServerConnections::Link::opened(Connection&) {
     Server& at = all_.server(server);
     came_up = true;
-    heard = used = all_.loop_.now();
-    at.timeouts = 0;
+    up_at = heard = used = all_.loop_.now();
+    at.timeouts = at.failed_connects = 0;
     at.wants_new = false;
     all_.note("server_connection_up", *this, "");
     // That it comes up says little: a frozen process, and whoever stands in between, accepts it too.
@@ -69,6 +71,9 @@
             if (!decoded) break;
             consumed += decoded->size;
             line_timer_.cancel();
+            const bool is_held = decoded->message.verb == codec::ServerVerb::Finish &&
+                                 all_.loop_.now() <= up_at + held_release_within_s;
+            held_releases += is_held ? 1 : 0;
             all_.user_.received(*this, decoded->message);
         }
     } catch (const codec::CodecError& error) {
@@ -329,6 +334,7 @@
     Server& at = server(number);
     close_rested(number);
     retransmit_releases(number);
+    report_held_releases(number);
     if (at.reopen_at > 0 && loop_.now() >= at.reopen_at) {
         at.reopen_at = 0;
         at.wants_new = true;
@@ -406,7 +412,13 @@
     Server& at = server(number);
     for (const auto& link : at.links) {
         if (!is_silent(at, *link)) continue;
-        link->avoided = true;
+        if (!std::exchange(link->avoided, true)) {
+            log_.info("server_connection_silent",
+                      {{"server", std::to_string(number)},
+                       {"connection", std::to_string(link->number)},
+                       {"sessions", std::to_string(link->sessions.size())},
+                       {"silent_ms", codec::whole_ms(loop_.now() - link->heard)}});
+        }
         const double again_after = std::min(silence_.replace_after, silence_.idle_after);
         at.wants_new = at.wants_new || loop_.now() > at.opened + again_after;
     }
@@ -458,6 +470,7 @@
                                    [&](const auto& other) { return other.get() == &link; });
     if (self == at.links.end()) return;
     note("server_connection_ended", link, name_of(why));
+    report_lost(link, why);
     loop_.retire(*self);
     at.links.erase(self);
     --links_;
@@ -489,6 +502,28 @@
                        {"why", std::string(why)}});
 }
 
+// A connection to a server with sessions that was lost, or the first one in a row that did not come up.
+void ServerConnections::report_lost(const Link& link, Connection::End why) {
+    if (!user_.has_sessions(link.server) || why == Connection::End::Finished) return;
+    if (!link.came_up && server(link.server).failed_connects++ > 0) return;
+    log_.info(link.came_up ? "server_connection_lost" : "server_not_reached",
+              {{"server", std::to_string(link.server)},
+               {"connection", std::to_string(link.number)},
+               {"sessions", std::to_string(link.sessions.size())},
+               {"why", name_of(why)}});
+}
+
+// Releases that came on a new connection at once: the server could not send them before.
+void ServerConnections::report_held_releases(ServerNumber number) {
+    for (const auto& link : server(number).links) {
+        if (link->held_releases == 0 || loop_.now() <= link->up_at + held_release_within_s) continue;
+        log_.info("held_releases_came",
+                  {{"server", std::to_string(number)},
+                   {"connection", std::to_string(link->number)},
+                   {"releases", std::to_string(std::exchange(link->held_releases, 0))}});
+    }
+}
+
 void ServerConnections::close_idle(ServerNumber number) {
     if (user_.has_sessions(number)) return;
     for (const auto& link : server(number).links) {
--- a/src/agent/server_connections.h
+++ b/src/agent/server_connections.h
@@ -86,6 +86,7 @@
         double heard = 0;                  // something came from there
         double probed = 0;                 // it was first asked for a sign of life since; 0: it was not
         int timeouts = 0;                  // connections that timed out since
+        int failed_connects = 0;           // in a row
         // One on which sessions stood has ended: what was said on it is said again on the next one.
         bool wants_new = false;
         // A silent connection with sessions was closed from here: what the server says on it before it hears
@@ -131,6 +132,8 @@
     bool is_overdue(const Server& at) const;
     void ended(Link& link, net::Connection::End why);
     void note(std::string_view event, const Link& link, std::string_view why);
+    void report_lost(const Link& link, net::Connection::End why);
+    void report_held_releases(ServerNumber number);
 
     net::Loop& loop_;
     net::BufferPool& pool_;
@@ -155,11 +158,13 @@
     void ended(net::Connection&, net::Connection::End why) override { all_.ended(*this, why); }
 
     const ServerNumber server;
-    const std::uint64_t number;    // from 1, of this process
-    std::deque<SessionId> queue;   // set-ups not yet written
-    std::set<SessionId> sessions;  // set-ups and sessions that were set up here
-    double used;                   // last traffic
-    double heard;                  // last bytes from the server, or since when it is there
+    const std::uint64_t number;     // from 1, of this process
+    std::deque<SessionId> queue;    // set-ups not yet written
+    std::set<SessionId> sessions;   // set-ups and sessions that were set up here
+    double up_at = 0;               // since when it is open; 0: it never was
+    std::size_t held_releases = 0;  // that came as soon as it was open, and were not reported yet
+    double used;                    // last traffic
+    double heard;                   // last bytes from the server, or since when it is there
     bool came_up = false;
     bool avoided = false;  // silent for too long: no set-up goes there
     bool closing = false;  // being closed from here
