--- a/tests/scenarios/scenario.cpp
+++ b/tests/scenarios/scenario.cpp
@@ -23,6 +23,7 @@
 #include <vector>
 
 #include "agent/directory.h"
+#include "automatic_server.h"
 #include "codec/error.h"
 #include "codec/feed_codec.h"
 #include "codec/server_codec.h"
@@ -171,6 +172,35 @@
     return encode(m);
 }
 
+// What a server does on each new connection: `garbage`, `half`, or messages; `then close`.
+ConnectionScript script_of(Words words) {
+    ConnectionScript script;
+    if (words.size() >= 2 && words[words.size() - 2] == "then") {
+        script.closes = true;
+        words.resize(words.size() - 2);
+    }
+    if (words.at(0).starts_with("pieces=")) {
+        script.pause_s = std::stod(words[0].substr(7));
+        words.erase(words.begin());
+    }
+    if (words.at(0) == "reset" || words[0] == "close") {
+        script.resets = words[0] == "reset";
+        script.closes = true;
+        return script;
+    }
+    if (words[0] == "garbage") script.writes = "garbage\n";
+    if (words[0] == "half") script.writes = R"({"verb":"FINISH","tag":)";
+    if (!script.writes.empty()) return script;
+    Words message;
+    for (const std::string& word : words) {
+        if (server_verbs.contains(word) && !message.empty())
+            script.writes += server_bytes(std::exchange(message, {}));
+        message.push_back(word);
+    }
+    script.writes += server_bytes(message);
+    return script;
+}
+
 // ---- Parties ----
 
 struct Wire {  // one connection, or one end of a pipe
@@ -216,6 +246,7 @@
     std::vector<std::unique_ptr<Wire>> wires;
     std::vector<net::Fd> fillers;
     Wire* last = nullptr;
+    std::unique_ptr<AutomaticServer> automatic;  // after the descriptor that it listens on
 
     Listening() {
         if (::bind(fd.get(), address.raw(), sizeof address.in) != 0 || ::listen(fd.get(), 64) != 0) {
@@ -337,6 +368,7 @@
         const std::string& party = words.at(0);
         const std::string& verb = words.at(1);
         const Words rest(words.begin() + 2, words.end());
+        if (verb == "within") return within(party, rest);
         if (party.ends_with("-codec")) return codec_line(party, verb, rest);
         if (party == "agent") return agent_line(verb, rest);
         if (party == "feed") return feed_line(feed_, verb, rest);
@@ -558,6 +590,10 @@
             return server.fd.reset();
         }
         if (verb == "refuse") return server.fd.reset();
+        if (verb == "always") {
+            server.automatic = std::make_unique<AutomaticServer>(server.fd.get(), script_of(rest));
+            return;
+        }
         if (verb == "deaf") return server.go_deaf();
         if (verb == "hear") return server.hear_again();
         if (verb == "send") return server.talking().write(server_bytes(rest));
@@ -569,6 +605,15 @@
                {"FINISHED"});
     }
 
+    // `X within 8 expect ...`: sooner than the usual patience, as a rule has it.
+    void within(const std::string& party, const Words& rest) {
+        patience_ = std::stod(rest.at(0));
+        Words words{party};
+        words.insert(words.end(), rest.begin() + 1, rest.end());
+        line(words);
+        patience_ = patience_s;
+    }
+
     // `wait(by, found)` brings in bytes until found(wire) is true.
     template <typename Wait, typename Decode>
     void expect(const Words& rest, Wait wait, Decode decode, std::set<std::string> noise) {
@@ -586,7 +631,7 @@
             if (wait(unix_now() + std::stod(rest.at(1)), found)) throw Wrong("got '" + join(got) + "'");
             return;
         }
-        if (!wait(unix_now() + patience_s, found)) throw Wrong("nothing came");
+        if (!wait(unix_now() + patience_, found)) throw Wrong("nothing came");
         match(got, rest);
     }
 
@@ -685,6 +730,7 @@
     Listening feed_, feed2_;
     std::map<std::string, Wire> viewers_;
     net::Address agent_;
+    double patience_ = patience_s;
     pid_t pid_ = 0;
     Wire log_, pipe_;
     std::string config_path_, pipe_path_;
--- a/tests/scenarios/scenario.h
+++ b/tests/scenarios/scenario.h
@@ -22,7 +22,12 @@
 //   X expect nothing 0.3, X expect closed, X close, X reset, v1 flood
 //   s1 deaf, s1 hear                     new connections to it stay silent; come up again
 //   s1 refuse                            new connections are refused, those that it has stay open and silent
+//   s1 always reset, close, garbage, half, NOTICE ..., or pieces=0.15 FINISH ... [FINISH ...]
+//                                        what it does on each new connection from now on, by itself: closes
+//                                        it, or writes this and leaves it open; in pieces with that pause
+//                                        between them, s. `then close` at the end: and closes it
 //   stands 7                             v1 has asked for session 7, and it plays at s1
+//   v1 within 9 expect release 7         within so long, s
 //   wait 0.2
 //   directory send s1=removed, directory wait s=60 s2=held, directory expect s1=gone s2=there
 //   viewer-codec, server-codec, feed-codec: `send` bytes in single steps, `expect` what they mean
