Give what is known of a server's silence a class of its own, EndWatch

The times when a server was heard and probed and the connects that timed out stood beside the connections, and what follows from them in three functions there.

--- /dev/null
+++ b/src/agent/end_watch.h
@@ -0,0 +1,36 @@
+// Whether a lesson server with sessions is able to tell this agent of their ends: when it last was, and what
+// is due if it was not for long. One object a server. Decides only: no I/O, times are passed in, all in
+// seconds of one clock.
+#pragma once
+
+#include "agent/silence_limits.h"
+
+namespace jasperspread::agent {
+
+class EndWatch {
+public:
+    explicit EndWatch(const SilenceLimits& limits) : limits_(limits) {}
+
+    // ---- What is seen ----
+    void heard(double now);  // something came from the server
+    void probe_sent(double now);
+    void connection_up();
+    void connect_timed_out() { ++timeouts_; }
+    void forget_timeouts() { timeouts_ = 0; }
+
+    // ---- What is due ----
+    bool probe_is_due(double now) const;  // the server is to be asked for a sign of life
+    bool is_probed() const { return probed_at_ > 0; }
+    // Its connects time out, and nothing came for longer than a server with sessions is silent.
+    bool has_vanished(double now) const;
+    // Nobody can tell of ends in time any more: its sessions are to be ended.
+    bool sessions_are_over(double now) const;
+
+private:
+    const SilenceLimits& limits_;
+    double heard_at_ = 0;
+    double probed_at_ = 0;  // first asked since it was last heard; 0: it was not
+    int timeouts_ = 0;      // connects that timed out since one came up
+};
+
+}  // namespace jasperspread::agent
--- a/src/agent/server_connections.cpp
+++ b/src/agent/server_connections.cpp
@@ -48,7 +48,8 @@
     Server& at = all_.server(server);
     came_up = true;
     up_at = heard = used = all_.loop_.now();
-    at.timeouts = at.failed_connects = 0;
+    at.watch.connection_up();
+    at.failed_connects = 0;
     at.wants_new = false;
     all_.note("server_connection_up", *this, "");
     // That it comes up says little: a frozen process, and whoever stands in between, accepts it too.
@@ -63,7 +64,7 @@
     Server& at = all_.server(server);
     all_.note_heard(at);
     heard = used = all_.loop_.now();
-    at.timeouts = 0;
+    at.watch.forget_timeouts();
     avoided = false;
     try {
         while (true) {  // also while it is being closed from here: a release may be among it
@@ -102,7 +103,7 @@
 // ---- All of them ----
 
 ServerConnections::Server& ServerConnections::server(ServerNumber number) {
-    Server& at = servers_[number];
+    Server& at = servers_.try_emplace(number, silence_).first->second;
     if (!at.maintenance) at.maintenance = std::make_unique<net::Timer>(loop_);
     return at;
 }
@@ -112,8 +113,7 @@
 }
 
 void ServerConnections::note_heard(Server& at) {
-    at.heard = loop_.now();
-    at.probed = 0;
+    at.watch.heard(loop_.now());
     at.connect_pause = at.connect_not_before = 0;
     if (std::exchange(at.closed_silent, false)) at.reopen_at = loop_.now() + closed_heard_within_s;
 }
@@ -124,7 +124,7 @@
 
 void ServerConnections::drop_pending(ServerNumber number) {
     server(number).pending.clear();
-    server(number).timeouts = 0;
+    server(number).watch.forget_timeouts();
 }
 
 bool ServerConnections::holds(ServerNumber number) {
@@ -364,19 +364,19 @@
 }
 
 bool ServerConnections::is_due_a_probe(ServerNumber number, const Server& at) const {
-    return limits_.can_probe && user_.has_sessions(number) && loop_.now() > at.heard + silence_.probe_after;
+    return user_.has_sessions(number) && at.watch.probe_is_due(loop_.now());
 }
 
 void ServerConnections::probe_silent(ServerNumber number) {
     Server& at = server(number);
-    if (at.probed > 0 || !is_due_a_probe(number, at)) return;
+    if (at.watch.is_probed() || !is_due_a_probe(number, at)) return;
     for (const auto& link : at.links) {
         if (link->connection.is_open() && !link->closing) probe(at, *link);
     }
 }
 
 void ServerConnections::probe(Server& at, Link& link) {
-    if (at.probed == 0) at.probed = loop_.now();
+    at.watch.probe_sent(loop_.now());
     note("server_probed", link, "silent");
     user_.probe(link);
 }
@@ -384,19 +384,11 @@
 // Ends the sessions of a server that says nothing, whether or not its connections come up.
 void ServerConnections::end_if_silent(ServerNumber number) {
     Server& at = server(number);
-    const double now = loop_.now();
-    if (!user_.has_sessions(number) || now < at.heard + silence_.over_after) return;
-    const bool is_unanswered = at.probed > 0 && now >= at.probed + silence_.probe_answer;
-    if (limits_.can_probe ? !is_unanswered : !silence_.notes_are_due) return;
+    if (!user_.has_sessions(number) || !at.watch.sessions_are_over(loop_.now())) return;
     for (const auto& link : at.links) link->avoided = true;
     user_.server_silent(number);
 }
 
-// Nothing came for longer than a server with sessions is silent.
-bool ServerConnections::is_overdue(const Server& at) const {
-    return loop_.now() > at.heard + silence_.vanished_after;
-}
-
 // Sessions rely on it, and it may be dead, or forgotten by the server.
 bool ServerConnections::is_silent(const Server& at, const Link& link) const {
     if (!link.connection.is_open() || link.closing) return false;
@@ -488,8 +480,8 @@
     const bool broken = why == Connection::End::Reset || why == Connection::End::PeerClosed;
     const bool last = open_link(at, nullptr) == nullptr;
     const bool proof = why == Connection::End::Refused ? left || last : broken && left && last;
-    const bool silent =
-        why == Connection::End::TimedOut && ++at.timeouts >= timeouts_to_vanish && is_overdue(at);
+    if (why == Connection::End::TimedOut) at.watch.connect_timed_out();
+    const bool silent = why == Connection::End::TimedOut && at.watch.has_vanished(loop_.now());
     user_.link_ended(link, why, proof ? Process::Gone : silent ? Process::Silent : Process::Unknown);
     schedule_maintenance(number);
 }
--- a/src/agent/server_connections.h
+++ b/src/agent/server_connections.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "agent/directory.h"
+#include "agent/end_watch.h"
 #include "agent/log.h"
 #include "agent/retransmit_queue.h"
 #include "agent/seam.h"
@@ -81,11 +82,10 @@
 
 private:
     struct Server {
+        explicit Server(const SilenceLimits& limits) : watch(limits) {}
+        EndWatch watch;
         std::vector<std::shared_ptr<Link>> links;
         std::vector<std::string> pending;  // messages on sessions that wait for a connection
-        double heard = 0;                  // something came from there
-        double probed = 0;                 // it was first asked for a sign of life since; 0: it was not
-        int timeouts = 0;                  // connections that timed out since
         int failed_connects = 0;           // in a row
         // One on which sessions stood has ended: what was said on it is said again on the next one.
         bool wants_new = false;
@@ -129,7 +129,6 @@
     static bool is_connecting(const Server& at);
     void make_room_in_order(Server& at);
     void open_wanted(ServerNumber number);
-    bool is_overdue(const Server& at) const;
     void ended(Link& link, net::Connection::End why);
     void note(std::string_view event, const Link& link, std::string_view why);
     void report_lost(const Link& link, net::Connection::End why);
--- a/src/agent/silence_limits.cpp
+++ b/src/agent/silence_limits.cpp
@@ -22,6 +22,7 @@
     const bool has_notes = settings.note_every > 0;
     const double note_due = settings.note_every + settings.note_late + note_slack_s;
     SilenceLimits limits;
+    limits.can_probe = settings.can_probe;
     limits.probe_after = has_notes ? std::min(note_due, probe_at_most_s) : probe_without_notes_s;
     limits.probe_answer = answer_s;
     limits.replace_after = limits.probe_after + (settings.can_probe ? answer_s : 0);
--- a/src/agent/silence_limits.h
+++ b/src/agent/silence_limits.h
@@ -22,6 +22,7 @@
     double over_after = 0;      // the server's sessions are over, whether or not new connections come up
     // Whether that silence alone shows that it is not as it should be; else an unanswered probe is needed.
     bool notes_are_due = false;
+    bool can_probe = false;
 };
 
 SilenceLimits silence_limits(const SilenceSettings& settings);
