Count a server as heard by messages that can be read, and not by bytes

Callers: viewers never told, beside a server whose new connections bring garbage or half a line (closed as unreadable 73 times in 18 s). Cause: Link::received noted a sign of life of the whole server before it decoded a byte. Now each whole message is one. Tests 'server whose new connections bring garbage' and '... half a line', red before (no release within 9 s), pass.

--- a/src/agent/end_watch.h
+++ b/src/agent/end_watch.h
@@ -12,7 +12,7 @@
     explicit EndWatch(const SilenceLimits& limits) : limits_(limits) {}
 
     // ---- What is seen ----
-    void heard(double now);  // something came from the server
+    void heard(double now);  // a whole message came from the server
     void probe_sent(double now);
     void connection_up();
     void connect_timed_out() { ++timeouts_; }
--- a/src/agent/server_connections.cpp
+++ b/src/agent/server_connections.cpp
@@ -61,17 +61,14 @@
 
 std::size_t ServerConnections::Link::received(Connection&, std::string_view bytes) {
     std::size_t consumed = 0;
-    Server& at = all_.server(server);
-    all_.note_heard(at);
-    heard = used = all_.loop_.now();
-    at.watch.forget_timeouts();
-    avoided = false;
+    used = all_.loop_.now();
     try {
         while (true) {  // also while it is being closed from here: a release may be among it
             const auto decoded = codec::decode_server(bytes.substr(consumed));
             if (!decoded) break;
             consumed += decoded->size;
             line_timer_.cancel();
+            note_message();
             const bool is_held = decoded->message.verb == codec::ServerVerb::Finish &&
                                  all_.loop_.now() <= up_at + held_release_within_s;
             held_releases += is_held ? 1 : 0;
@@ -90,6 +87,15 @@
     return consumed;
 }
 
+// A whole message is a sign of life; bytes that can't be read are none.
+void ServerConnections::Link::note_message() {
+    Server& at = all_.server(server);
+    all_.note_heard(at);
+    at.watch.forget_timeouts();
+    heard = all_.loop_.now();
+    avoided = false;
+}
+
 void ServerConnections::Link::close_unreadable(const std::string& why) {
     all_.log_.warn("server_unreadable", {{"server", std::to_string(server)},
                                          {"connection", std::to_string(number)},
--- a/src/agent/server_connections.h
+++ b/src/agent/server_connections.h
@@ -169,6 +169,7 @@
     bool closing = false;  // being closed from here
 
 private:
+    void note_message();
     void close_unreadable(const std::string& why);
 
     ServerConnections& all_;
