End sessions where neither notes nor probes exist and connections bring no message

Callers: viewers never told, beside a server whose new connections are closed or reset at once (73 of them in 18 s) or bring what can't be read, with settings that have neither notes nor probes. Cause: silence shows nothing there, and so nothing was concluded at all. A connection that ends before it carried a message is no evidence of a server that can speak: 7.2 s of them end its sessions, unless one stays open for a second. Connects that time out count from the first one there, as a server that has nothing to say may have been silent for long. A hung process that accepts and says nothing can't be told from a sound one there.

--- a/src/agent/end_watch.h
+++ b/src/agent/end_watch.h
@@ -3,6 +3,8 @@
 // seconds of one clock.
 #pragma once
 
+#include <optional>
+
 #include "agent/silence_limits.h"
 
 namespace jasperspread::agent {
@@ -15,7 +17,11 @@
     void heard(double now);  // a whole message came from the server
     void probe_sent(double now);
     void connection_up();
-    void connect_timed_out() { ++timeouts_; }
+    void connect_timed_out(double now);
+    // One from which no message came has ended, or was never there.
+    void connection_was_fruitless(double now);
+    // How long the oldest of its open connections has been open; nothing where none is.
+    void connections_are_open(std::optional<double> for_s);
     void forget_timeouts() { timeouts_ = 0; }
 
     // ---- What is due ----
@@ -27,10 +33,16 @@
     bool sessions_are_over(double now) const;
 
 private:
+    bool shows_silence() const { return limits_.can_probe || limits_.notes_are_due; }
+
     const SilenceLimits& limits_;
     double heard_at_ = 0;
     double probed_at_ = 0;  // first asked since it was last heard; 0: it was not
     int timeouts_ = 0;      // connects that timed out since one came up
+    double timeouts_since_ = 0;
+    // Connections end without a message since; 0: they don't.
+    double fruitless_since_ = 0;
+    bool has_open_ = false;
 };
 
 }  // namespace jasperspread::agent
--- a/src/agent/server_connections.cpp
+++ b/src/agent/server_connections.cpp
@@ -93,6 +93,7 @@
     all_.note_heard(at);
     at.watch.forget_timeouts();
     heard = all_.loop_.now();
+    has_spoken = true;
     avoided = false;
 }
 
@@ -390,11 +391,21 @@
 // Ends the sessions of a server that says nothing, whether or not its connections come up.
 void ServerConnections::end_if_silent(ServerNumber number) {
     Server& at = server(number);
+    at.watch.connections_are_open(longest_open(at));
     if (!user_.has_sessions(number) || !at.watch.sessions_are_over(loop_.now())) return;
     for (const auto& link : at.links) link->avoided = true;
     user_.server_silent(number);
 }
 
+std::optional<double> ServerConnections::longest_open(const Server& at) const {
+    std::optional<double> longest;
+    for (const auto& link : at.links) {
+        if (!link->connection.is_open() || link->closing) continue;
+        longest = std::max(longest.value_or(0), loop_.now() - link->up_at);
+    }
+    return longest;
+}
+
 // Sessions rely on it, and it may be dead, or forgotten by the server.
 bool ServerConnections::is_silent(const Server& at, const Link& link) const {
     if (!link.connection.is_open() || link.closing) return false;
@@ -486,7 +497,9 @@
     const bool broken = why == Connection::End::Reset || why == Connection::End::PeerClosed;
     const bool last = open_link(at, nullptr) == nullptr;
     const bool proof = why == Connection::End::Refused ? left || last : broken && left && last;
-    if (why == Connection::End::TimedOut) at.watch.connect_timed_out();
+    if (why == Connection::End::TimedOut) at.watch.connect_timed_out(loop_.now());
+    const bool from_here = why == Connection::End::Finished || why == Connection::End::Unavailable;
+    if (!link.has_spoken && !from_here) at.watch.connection_was_fruitless(loop_.now());
     const bool silent = why == Connection::End::TimedOut && at.watch.has_vanished(loop_.now());
     user_.link_ended(link, why, proof ? Process::Gone : silent ? Process::Silent : Process::Unknown);
     schedule_maintenance(number);
--- a/src/agent/server_connections.h
+++ b/src/agent/server_connections.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -123,6 +124,7 @@
     void probe_silent(ServerNumber number);
     void probe(Server& at, Link& link);
     void end_if_silent(ServerNumber number);
+    std::optional<double> longest_open(const Server& at) const;  // s; nothing: none is open
     bool is_silent(const Server& at, const Link& link) const;
     void replace_silent(ServerNumber number);
     void close_now(Link& link, std::string_view why);
@@ -161,6 +163,7 @@
     std::deque<SessionId> queue;    // set-ups not yet written
     std::set<SessionId> sessions;   // set-ups and sessions that were set up here
     double up_at = 0;               // since when it is open; 0: it never was
+    bool has_spoken = false;        // a message came on it
     std::size_t held_releases = 0;  // that came as soon as it was open, and were not reported yet
     double used;                    // last traffic
     double heard;                   // last bytes from the server, or since when it is there
