End a silent server's sessions also where no connection is open to probe it on

Callers (by the rule, forced in the unit alone): viewers never told, where probes are allowed and each new connection is reset while it still comes up. Cause: a probe had to be sent and go unanswered, and without an open connection none ever is. Test 'server that can't be asked as no connection comes up', red before (two checks), passes.

--- a/src/agent/end_watch.cpp
+++ b/src/agent/end_watch.cpp
@@ -50,7 +50,7 @@
     if (now < heard_at_ + limits_.over_after) return false;
     if (!limits_.can_probe) return true;
     const bool is_unanswered = is_probed() && now >= probed_at_ + limits_.probe_answer;
-    return is_unanswered;
+    return is_unanswered || !has_open_;
 }
 
 }  // namespace jasperspread::agent
--- a/tests/unit/end_watch_test.cpp
+++ b/tests/unit/end_watch_test.cpp
@@ -20,6 +20,17 @@
 
 }  // namespace
 
+TEST_CASE("server that can't be asked as no connection comes up: its sessions are over in time") {
+    for (const bool has_notes : {true, false}) {
+        const SilenceLimits limits = limits_of(has_notes, true);
+        EndWatch watch(limits);
+        watch.heard(began_s);
+        watch.connections_are_open(std::nullopt);
+        CHECK_FALSE(watch.sessions_are_over(began_s + 5));
+        CHECK(watch.sessions_are_over(began_s + rule_s));
+    }
+}
+
 TEST_CASE("server that answers its probes: its sessions go on however long it has nothing to say") {
     const SilenceLimits limits = limits_of(false, true);
     EndWatch watch(limits);
