Let what viewers say of sessions be no sign of life of their server

Callers: viewers never told, where sessions are handed in at a silent server again and again (agents that die, one after the other). Cause: adopt() noted the server as heard each time. The time counts from the first session of a server that had none now, whichever way it comes there.

--- a/src/agent/server_connections.cpp
+++ b/src/agent/server_connections.cpp
@@ -115,7 +115,8 @@
     return at;
 }
 
-void ServerConnections::heard(ServerNumber number) {
+// From here on it owes signs of life. What was noted while nothing stood there says nothing of that.
+void ServerConnections::sessions_begin(ServerNumber number) {
     note_heard(server(number));
 }
 
--- a/src/agent/server_connections.h
+++ b/src/agent/server_connections.h
@@ -73,7 +73,7 @@
     void release(ServerNumber number, const Link* preferred, const codec::ServerMessage& message);
     void release_acknowledged(ServerNumber number, SessionId id);
     void ensure_connection(ServerNumber number);  // one at least, as long as something stands there
-    void heard(ServerNumber number);              // as if it had spoken now
+    void sessions_begin(ServerNumber number);     // the first one of a server that had none
     bool has_open_link(ServerNumber number) { return open_link(server(number), nullptr) != nullptr; }
     void drop_pending(ServerNumber number);
     void drop_releases(ServerNumber number);
