--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -248,9 +248,7 @@
     Server& at = servers_[entry.attempt.server];
     if (entry.state == State::Queued) at.queued.insert(id);
     if (entry.state == State::Written) ++at.written;
-    if (entry.state != State::Standing) return;
-    if (at.standing.empty()) connections_.sessions_begin(entry.attempt.server);
-    at.standing.emplace(entry.since, id);
+    if (entry.state == State::Standing) at.standing.emplace(entry.since, id);
 }
 
 void ServerLinks::unfile(SessionId id, const Entry& entry) {
@@ -303,6 +301,7 @@
     entry.attempt.server = number;
     entry.state = State::Standing;
     entry.since = loop_.now();
+    if (!has_sessions(number)) connections_.sessions_begin(number);
     place(id, std::move(entry));
     connections_.ensure_connection(number);
 }
