Open a further connection to each server with sessions every 4.5 to 6 s

Callers: viewers never told. Root cause: whether an end could be told was concluded from the server's speaking at all, on any connection. Evidence: ends within 2 s at one server, no line of the log, few connections; both ways fail when forced. Now one more connection comes 4.5 to 6 s after the last one came up, drawn for each, while sessions stand: it is closed after a second without traffic and read for 7 s more, as a server that stands still sends what it holds only then. Connects beside a sound connection pause from 0.25 s to 1 s when they fail; a server that has left the list is not renewed, as its refusal would count as proof. Tests 'server that held a release back' and 'session without a connection of its own', red before (no connection within 8 s), pass.

--- a/src/agent/end_watch.cpp
+++ b/src/agent/end_watch.cpp
@@ -1,5 +1,7 @@
 #include "end_watch.h"
 
+#include <algorithm>
+
 namespace jasperspread::agent {
 namespace {
 
@@ -18,8 +20,14 @@
     if (!is_probed()) probed_at_ = now;
 }
 
-void EndWatch::connection_up() {
+void EndWatch::connection_up(double now, double draw) {
     timeouts_ = 0;
+    up_at_ = now;
+    renew_after_ = limits_.renew_least + draw * (limits_.renew_most - limits_.renew_least);
+}
+
+bool EndWatch::connection_is_due(double now, double stands_since) const {
+    return now >= std::max(up_at_, stands_since) + renew_after_;
 }
 
 void EndWatch::connect_timed_out(double now) {
--- a/src/agent/end_watch.h
+++ b/src/agent/end_watch.h
@@ -16,7 +16,8 @@
     // ---- What is seen ----
     void heard(double now);  // a whole message came from the server
     void probe_sent(double now);
-    void connection_up();
+    // `draw`: from 0 to 1, for the time until the next one is due.
+    void connection_up(double now, double draw);
     void connect_timed_out(double now);
     // One from which no message came has ended, or was never there.
     void connection_was_fruitless(double now);
@@ -26,6 +27,9 @@
 
     // ---- What is due ----
     bool probe_is_due(double now) const;  // the server is to be asked for a sign of life
+    // A connection on which the server can send what it could not send before. `stands_since`: of its oldest
+    // session.
+    bool connection_is_due(double now, double stands_since) const;
     bool is_probed() const { return probed_at_ > 0; }
     // Its connects time out, and nothing came for longer than a server with sessions is silent.
     bool has_vanished(double now) const;
@@ -43,6 +47,7 @@
     // Connections end without a message since; 0: they don't.
     double fruitless_since_ = 0;
     bool has_open_ = false;
+    double up_at_ = 0, renew_after_ = 0;  // the last connection came up; the next is due so long after it
 };
 
 }  // namespace jasperspread::agent
--- a/src/agent/server_connections.cpp
+++ b/src/agent/server_connections.cpp
@@ -1,6 +1,7 @@
 #include "server_connections.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "codec/error.h"
@@ -27,7 +28,10 @@
 constexpr std::size_t most_releases = 1024;  // of one server
 constexpr double closed_heard_within_s =
     1;  // by a server that is heard again, of connections closed meanwhile
-constexpr double longest_connect_pause_s = 4;
+constexpr double longest_connect_pause_s = 4, longest_with_sessions_s = 1;
+// A brief connection is closed towards the server after so long without traffic, and still read for so long:
+// a server that stood still sends what it has held there only once it runs again.
+constexpr double brief_s = 1, brief_read_s = 7;
 constexpr double held_release_within_s = 1;  // of a new connection's opening
 constexpr int timeouts_to_vanish = 2;        // that time out in a row before a silent machine counts as gone
 
@@ -48,7 +52,8 @@
     Server& at = all_.server(server);
     came_up = true;
     up_at = heard = used = all_.loop_.now();
-    at.watch.connection_up();
+    at.watch.connection_up(up_at, all_.draw());
+    brief = queue.empty() && sessions.empty() && has_sound(at, this);
     at.failed_connects = 0;
     at.wants_new = false;
     all_.note("server_connection_up", *this, "");
@@ -70,7 +75,7 @@
             line_timer_.cancel();
             note_message();
             const bool is_held = decoded->message.verb == codec::ServerVerb::Finish &&
-                                 all_.loop_.now() <= up_at + held_release_within_s;
+                                 (brief || all_.loop_.now() <= up_at + held_release_within_s);
             held_releases += is_held ? 1 : 0;
             all_.user_.received(*this, decoded->message);
         }
@@ -109,6 +114,11 @@
 
 // ---- All of them ----
 
+double ServerConnections::draw() {
+    if (!random_) random_.emplace(loop_.kernel().random());
+    return std::uniform_real_distribution<double>(0, 1)(*random_);
+}
+
 ServerConnections::Server& ServerConnections::server(ServerNumber number) {
     Server& at = servers_.try_emplace(number, silence_).first->second;
     if (!at.maintenance) at.maintenance = std::make_unique<net::Timer>(loop_);
@@ -148,6 +158,15 @@
         std::count_if(at.links.begin(), at.links.end(), [](const auto& link) { return !link->closing; }));
 }
 
+bool ServerConnections::is_sound(const Link& link) {
+    return link.connection.is_open() && !link.closing && !link.avoided && !link.brief;
+}
+
+bool ServerConnections::has_sound(const Server& at, const Link* beside) {
+    return std::any_of(at.links.begin(), at.links.end(),
+                       [&](const auto& link) { return link.get() != beside && is_sound(*link); });
+}
+
 bool ServerConnections::needs_connection(ServerNumber number, const Server& at) const {
     return user_.has_sessions(number) || !at.pending.empty() || at.releases;
 }
@@ -240,7 +259,8 @@
     const double stale = loop_.now() - stale_part_of_idle * limits_.conn_idle;
     Link* best = nullptr;
     for (const auto& link : server(number).links) {
-        if (link->closing || link->avoided || link->sessions.size() >= limits_.streams_per_conn) continue;
+        const bool is_full = link->sessions.size() >= limits_.streams_per_conn;
+        if (link->closing || link->avoided || link->brief || is_full) continue;
         if (limits_.conn_idle > 0 && link->used < stale) continue;
         const bool better = best == nullptr || (link->connection.is_open() && !best->connection.is_open());
         if (better) best = link.get();
@@ -324,7 +344,7 @@
 
 void ServerConnections::ensure_connection(ServerNumber number) {
     Server& at = server(number);
-    const bool is_urgent = user_.has_sessions(number) || !at.pending.empty();
+    const bool is_urgent = (user_.has_sessions(number) && !has_sound(at)) || !at.pending.empty();
     const bool may_open = is_urgent || loop_.now() >= at.connect_not_before;
     if ((staying(at) == 0 || at.wants_new) && may_open) open_wanted(number);
     schedule_maintenance(number);
@@ -348,7 +368,10 @@
         at.wants_new = true;
     }
     probe_silent(number);
-    if (user_.has_sessions(number)) replace_silent(number);
+    if (user_.has_sessions(number)) {
+        replace_silent(number);
+        renew(number);
+    }
     end_if_silent(number);
     if (needs_connection(number, at)) ensure_connection(number);
     if (!at.links.empty() || needs_connection(number, at)) schedule_maintenance(number);
@@ -362,15 +385,30 @@
         const bool has_sessions = !link->sessions.empty() && !link->avoided;
         const bool needed = has_sessions || (staying(at) == 1 && user_.has_sessions(number));
         if (link->closing || needed || !link->connection.is_open()) continue;
-        const double idle_s = link->avoided ? limits_.conn_idle : silence_.idle_after;
-        if (limits_.conn_idle <= 0 || now < link->used + idle_s) continue;
+        if (now < link->used + closes_after(at, *link)) continue;
         at.closed_silent = at.closed_silent || !link->sessions.empty();
         note("server_connection_closing", *link, "idle");
         link->closing = true;
-        link->connection.finish();
+        link->connection.finish(link->brief ? brief_read_s : Connection::usual_finish_s);
     }
 }
 
+double ServerConnections::closes_after(const Server& at, const Link& link) const {
+    constexpr double never = std::numeric_limits<double>::infinity();
+    if (link.brief && !link.has_partial_line() && has_sound(at, &link)) return brief_s;
+    if (limits_.conn_idle <= 0) return never;
+    return link.avoided ? limits_.conn_idle : silence_.idle_after;
+}
+
+// A server may hold releases that it could not send, though it speaks: it sends them on the next connection.
+void ServerConnections::renew(ServerNumber number) {
+    Server& at = server(number);
+    const KnownServer* known = directory_.find(number);
+    // That one which has left the list refuses would count as proof that it is gone.
+    if (known == nullptr || known->entry.state == cinderfront::ServerState::Gone) return;
+    if (at.watch.connection_is_due(loop_.now(), user_.stands_since(number))) at.wants_new = true;
+}
+
 bool ServerConnections::is_due_a_probe(ServerNumber number, const Server& at) const {
     return user_.has_sessions(number) && at.watch.probe_is_due(loop_.now());
 }
@@ -486,7 +524,8 @@
     --links_;
     if (at.releases) at.releases->connection_lost(link.number, loop_.now());
     if (!link.came_up) {
-        at.connect_pause = std::clamp(2 * at.connect_pause, maintain_every_s, longest_connect_pause_s);
+        const double longest = user_.has_sessions(number) ? longest_with_sessions_s : longest_connect_pause_s;
+        at.connect_pause = std::clamp(2 * at.connect_pause, maintain_every_s, longest);
         at.connect_not_before = loop_.now() + at.connect_pause;
     }
     at.wants_new = at.wants_new || (link.came_up && !link.sessions.empty());
@@ -525,7 +564,7 @@
                {"why", name_of(why)}});
 }
 
-// Releases that came on a new connection at once: the server could not send them before.
+// Releases that came on a new connection at once, or on a brief one: the server could not send them before.
 void ServerConnections::report_held_releases(ServerNumber number) {
     for (const auto& link : server(number).links) {
         if (link->held_releases == 0 || loop_.now() <= link->up_at + held_release_within_s) continue;
--- a/src/agent/server_connections.h
+++ b/src/agent/server_connections.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <string_view>
@@ -45,10 +46,11 @@
         virtual void received(Link& link, const codec::ServerMessage& message) = 0;
         // Its set-ups go elsewhere or are over; the object lives until the loop's next turn.
         virtual void link_ended(Link& link, net::Connection::End why, Process process) = 0;
-        virtual bool has_sessions(ServerNumber number) const = 0;   // a session, so that a connection is kept
-        virtual bool waits_for_answer(const Link& link) const = 0;  // to a set-up written on it
-        virtual void probe(Link& link) = 0;                         // asks the server for a sign of life
-        virtual void server_silent(ServerNumber number) = 0;        // for so long that its sessions are over
+        virtual bool has_sessions(ServerNumber number) const = 0;  // a session, so that a connection is kept
+        virtual double stands_since(ServerNumber number) const = 0;  // the oldest of these, s
+        virtual bool waits_for_answer(const Link& link) const = 0;   // to a set-up written on it
+        virtual void probe(Link& link) = 0;                          // asks the server for a sign of life
+        virtual void server_silent(ServerNumber number) = 0;         // for so long that its sessions are over
 
     protected:
         ~User() = default;
@@ -107,6 +109,8 @@
     bool has_room(Need need);
     bool close_resting();
     bool close_replaced();
+    static bool is_sound(const Link& link);
+    static bool has_sound(const Server& at, const Link* beside = nullptr);
     static std::size_t staying(const Server& at);  // connections that are not being closed from here
     void note_heard(Server& at);
     bool lacks_connection(ServerNumber number, const Server& at) const;
@@ -118,8 +122,11 @@
     std::size_t servers_before(Need need) const;
     Link* open_link(Server& at, const Link* preferred);
     void schedule_maintenance(ServerNumber number);
+    double draw();  // from 0 to 1
     void maintain(ServerNumber number);
     void close_rested(ServerNumber number);
+    double closes_after(const Server& at, const Link& link) const;  // s without traffic
+    void renew(ServerNumber number);
     bool is_due_a_probe(ServerNumber number, const Server& at) const;
     void probe_silent(ServerNumber number);
     void probe(Server& at, Link& link);
@@ -145,6 +152,7 @@
     const SilenceLimits silence_;
     std::map<ServerNumber, Server> servers_;
     std::size_t links_ = 0;
+    std::optional<std::mt19937_64> random_;
     std::uint64_t opened_ = 0;  // since the start
 };
 
@@ -170,6 +178,9 @@
     bool came_up = false;
     bool avoided = false;  // silent for too long: no set-up goes there
     bool closing = false;  // being closed from here
+    bool brief = false;    // beside a sound one, for what the server could not send on that; soon closed
+
+    bool has_partial_line() const { return line_timer_.is_set(); }
 
 private:
     void note_message();
--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -39,6 +39,12 @@
     return it != servers_.end() && !it->second.standing.empty();
 }
 
+double ServerLinks::stands_since(ServerNumber number) const {
+    const auto it = servers_.find(number);
+    const bool none = it == servers_.end() || it->second.standing.empty();
+    return none ? loop_.now() : it->second.standing.begin()->first;
+}
+
 bool ServerLinks::waits_for_answer(const Link& link) const {
     return std::any_of(link.sessions.begin(), link.sessions.end(), [this](SessionId id) {
         const auto it = entries_.find(id);
--- a/src/agent/server_links.h
+++ b/src/agent/server_links.h
@@ -76,6 +76,7 @@
     void received(Link& link, const codec::ServerMessage& message) override;
     void link_ended(Link& link, net::Connection::End why, ServerConnections::Process process) override;
     bool has_sessions(ServerNumber number) const override;
+    double stands_since(ServerNumber number) const override;
     bool waits_for_answer(const Link& link) const override;
     void probe(Link& link) override;
     void server_silent(ServerNumber number) override;
--- a/src/agent/silence_limits.cpp
+++ b/src/agent/silence_limits.cpp
@@ -12,6 +12,8 @@
 constexpr double probe_at_most_s = 5.5, answer_s = 0.6;
 constexpr double probe_without_notes_s = 4;
 constexpr double over_after_s = 7.2;  // of the 8 s in which ends must be told
+// Leaves time for connects that fail; drawn, so that agents that began together don't connect together.
+constexpr double renew_least_s = 4.5, renew_most_s = 6;
 // Part of the time after which the server closes an idle connection: its close must never meet what it has to
 // say.
 constexpr double idle_part = 0.6;
@@ -30,6 +32,8 @@
         settings.conn_idle > 0 ? idle_part * settings.conn_idle : std::numeric_limits<double>::infinity();
     limits.vanished_after = has_notes ? std::min(note_due, over_after_s) : over_after_s;
     limits.over_after = over_after_s;
+    limits.renew_least = renew_least_s;
+    limits.renew_most = renew_most_s;
     limits.notes_are_due = has_notes && note_due <= over_after_s;
     return limits;
 }
--- a/src/agent/silence_limits.h
+++ b/src/agent/silence_limits.h
@@ -19,7 +19,10 @@
     double replace_after = 0;   // a connection is replaced
     double idle_after = 0;      // a connection without traffic either way is replaced
     double vanished_after = 0;  // connects that time out count: the machine has vanished
-    double over_after = 0;      // the server's sessions are over, whether or not new connections come up
+    // A further connection is opened so long after the last one came up, drawn between the two, whatever is
+    // heard: a release that could not be sent waits at the server for the next one.
+    double renew_least = 0, renew_most = 0;
+    double over_after = 0;  // the server's sessions are over, whether or not new connections come up
     // Whether that silence alone shows that it is not as it should be; else an unanswered probe is needed.
     bool notes_are_due = false;
     bool can_probe = false;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -10,7 +10,7 @@
 namespace {
 constexpr std::size_t most_kept = 16;  // buffers of output: 256 KiB
 constexpr int reads_a_turn = 4;        // so that one busy peer can't starve the others
-constexpr double stall_s = 10, finish_s = 1;
+constexpr double stall_s = 10;
 
 // Only a refusal proves that nobody listens; whatever else ends a connect says less.
 Connection::End end_of_connect(int error) {
@@ -178,13 +178,13 @@
     if (tell) owner_.writable(*this);
 }
 
-void Connection::finish() {
+void Connection::finish(double within_s) {
     if (state_ == State::Connecting) return end_soon(End::Finished);
     if (state_ != State::Open) return;
     state_ = State::Finishing;
     wants_writable_ = false;
     if (out_.empty()) loop_.kernel().shut_output(fd_.get());
-    timer_.set(loop_.now() + finish_s, [this] { end(End::Finished); });
+    timer_.set(loop_.now() + within_s, [this] { end(End::Finished); });
     watch();
 }
 
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -50,9 +50,10 @@
     void send(std::string_view bytes);
     // Sends only if the first byte can go out now; false: nothing was sent, writable() will tell.
     bool offer(std::string_view bytes);
-    // Writes what is kept, tells the peer, and ends once the peer has closed too, or after a moment. Until
+    // Writes what is kept, tells the peer, and ends once the peer has closed too, or after so long, s. Until
     // then the owner still gets what the peer says.
-    void finish();
+    static constexpr double usual_finish_s = 1;
+    void finish(double within_s = usual_finish_s);
     void close();  // at once and without a callback
 
 private:
