--- a/lab/model/faults.cpp
+++ b/lab/model/faults.cpp
@@ -11,11 +11,28 @@
 namespace lab {
 namespace {
 
-constexpr std::array<const char*, 19> names = {
-    "squeeze",       "freeze-server", "kill-server", "drain-server",   "cut",
-    "kill-agent",    "stop-agent",    "end-agent",   "rush",           "end-and-kill-agent",
-    "signal-series", "silence-feed",  "feed-down",   "replace-server", "reset-links",
-    "cut-one-way",   "pieces",        "bad-clients", "spoil-answers"};
+constexpr std::array<const char*, 22> names = {"squeeze",
+                                               "freeze-server",
+                                               "kill-server",
+                                               "drain-server",
+                                               "cut",
+                                               "kill-agent",
+                                               "stop-agent",
+                                               "end-agent",
+                                               "rush",
+                                               "end-and-kill-agent",
+                                               "signal-series",
+                                               "silence-feed",
+                                               "feed-down",
+                                               "replace-server",
+                                               "reset-links",
+                                               "cut-one-way",
+                                               "pieces",
+                                               "bad-clients",
+                                               "spoil-answers",
+                                               "hold-releases",
+                                               "deaden-connections",
+                                               "garble-lines"};
 constexpr bool of_agent(Trouble what) {
     return what == Trouble::KillAgent || what == Trouble::StopAgent || what == Trouble::EndAgent;
 }
@@ -83,6 +100,12 @@
             return world.bad_clients(step.agent, true);
         case Trouble::SpoilAnswers:
             return world.spoil_answers(step.server, true);
+        case Trouble::HoldReleases:
+            return world.hold_releases(step.server, true);
+        case Trouble::DeadenConnections:
+            return world.deaden_connections(step.agent, step.server);
+        case Trouble::GarbleLines:
+            return world.garble_lines(step.server, true);
     }
 }
 
@@ -110,6 +133,10 @@
             return world.bad_clients(step.agent, false);
         case Trouble::SpoilAnswers:
             return world.spoil_answers(step.server, false);
+        case Trouble::HoldReleases:
+            return world.hold_releases(step.server, false);
+        case Trouble::GarbleLines:
+            return world.garble_lines(step.server, false);
         default:
             return;  // those start again by themselves
     }
--- a/lab/model/faults.h
+++ b/lab/model/faults.h
@@ -45,16 +45,19 @@
     virtual void power_fails(const PowerLoss& loss) = 0;
 
     // What a driver can't play it leaves out.
-    virtual void end_and_kill_agent(int) {}      // SIGTERM, and SIGKILL as early as it may come
-    virtual void signal_agent_in_series(int) {}  // SIGHUP with sound and unsound files, SIGSTOP, SIGCONT
-    virtual void silence_feed(int) {}            // of this agent: who listens hears nothing more
-    virtual void feed_down(int, bool) {}         // of this agent
-    virtual void replace_server(int) {}          // its process dies, and a new server has its address
-    virtual void reset_links(int, int) {}        // between this agent and this server
-    virtual void cut_one_way(int, int, bool) {}  // from this agent to this server
-    virtual void in_pieces(int, bool) {}         // all that this agent hears and says
-    virtual void bad_clients(int, bool) {}       // at this agent
-    virtual void spoil_answers(int, bool) {}     // of this server
+    virtual void end_and_kill_agent(int) {}       // SIGTERM, and SIGKILL as early as it may come
+    virtual void signal_agent_in_series(int) {}   // SIGHUP with sound and unsound files, SIGSTOP, SIGCONT
+    virtual void silence_feed(int) {}             // of this agent: who listens hears nothing more
+    virtual void feed_down(int, bool) {}          // of this agent
+    virtual void replace_server(int) {}           // its process dies, and a new server has its address
+    virtual void reset_links(int, int) {}         // between this agent and this server
+    virtual void cut_one_way(int, int, bool) {}   // from this agent to this server
+    virtual void in_pieces(int, bool) {}          // all that this agent hears and says
+    virtual void bad_clients(int, bool) {}        // at this agent
+    virtual void spoil_answers(int, bool) {}      // of this server
+    virtual void hold_releases(int, bool) {}      // of this server: they wait for the next connection
+    virtual void deaden_connections(int, int) {}  // this agent's to this server, for good; new ones work
+    virtual void garble_lines(int, bool) {}       // of this server
 };
 
 enum class Trouble {
@@ -77,6 +80,9 @@
     Pieces,
     BadClients,
     SpoilAnswers,
+    HoldReleases,
+    DeadenConnections,
+    GarbleLines,
 };
 
 struct FaultStep {
--- a/lab/model/ledger.cpp
+++ b/lab/model/ledger.cpp
@@ -154,7 +154,7 @@
     Viewed* viewed = find(id);
     if (viewed == nullptr) return;
     const double over_at = viewed->server_over_at;
-    if (over_at > 0 &&
+    if (over_at > 0 && !viewed->over_unsent &&
         late(id, viewed->over_at_server, over_at, over_at + released_within_s + plan_.slack_s, now))
         violate("a viewer heard late that it is over " + std::to_string(id), now);
     // Where no release could be sent, the time runs from the session's end, whatever its server or link was
@@ -412,10 +412,11 @@
     sums_.worth_earned += seconds * factor * worth(viewed->cls, viewed->rung);
 }
 
-void Ledger::server_over(SessionId id, int server, double now) {
-    note(id, "ended by the server", server, now);
+void Ledger::server_over(SessionId id, int server, double now, bool sent) {
+    note(id, sent ? "ended by the server" : "ended by the server, which can't say so", server, now);
     Viewed* viewed = find(id);
     if (viewed == nullptr) return;
+    viewed->over_unsent = !sent;
     viewed->server_over_at = now;
     viewed->over_at_server = server;
 }
--- a/lab/model/ledger.h
+++ b/lab/model/ledger.h
@@ -66,8 +66,8 @@
     void stream_ends(SessionId id, int server, double now, bool for_hand_over);
     void rung_changed(SessionId id, int server, int rung, double now);
     void delivers(SessionId id, int server, double share, double seconds);  // over the time just past
-    // The server holds it no more, and it is not moved.
-    void server_over(SessionId id, int server, double now);
+    // The server holds it no more, and it is not moved. `sent`: false where it could not send its release.
+    void server_over(SessionId id, int server, double now, bool sent = true);
     void drained(int server, double now) { drained_[server] = now; }
     void listed(int server) { drained_.erase(server); }
     // `told_late_s`: after which the list tells of it.
@@ -114,6 +114,7 @@
         int agent = -1;        // that it was named to since
         int streaming_at = -1, last_at = -1, rung = 0;
         double began = 0, last_stop = 0, last_move = 0;  // of its streams
+        bool over_unsent = false;                        // the server could not send its release
         bool yielded = false;                            // the last stop was for a hand-over
         int may_have_run = 0, streams = 0, tries = 0;
         double left_at = 0;         // the viewer said so, or was told so, then
--- a/lab/model/server.h
+++ b/lab/model/server.h
@@ -30,6 +30,12 @@
     // Of its answers some come a second time, some behind one to a session that nobody asked for, and in
     // place of some comes a line that can't be read.
     void spoil_answers(bool spoils) { spoils_ = spoils; }
+    // It can't send releases meanwhile, though it says all else: they wait for the agent's next connection.
+    void hold_releases(bool holds) { holds_releases_ = holds; }
+    // The connections that this agent has now stay open, but nothing passes on them any more. New ones do.
+    void deaden_connections(int agent);
+    // Now and then a line that can't be read goes out on a connection, or one that stops short.
+    void garble_lines(bool garbles) { garbles_ = garbles; }
     void set_keys(const std::string& text) { keys_ = jasperspread::handover::TicketKeys(text); }
     void die();                 // its process is about to go: what it streams ends
     void tick(double seconds);  // media delivered over the time just past
@@ -72,8 +78,11 @@
     void media_over(SessionId id);
     void erase(SessionId id);
     void end(SessionId id, int cause, bool tell);
-    void say(const Held& held, const Message& message);
-    void say_to_all(const std::string& text);
+    bool say(const Held& held, const Message& message);  // false: it could not be sent on any connection
+    void garble();
+    int agent_number(std::uint64_t connection) const;
+    bool is_dead(std::uint64_t connection) const { return dead_.contains(connection); }
+    bool say_to_all(const std::string& text);
     void say_on(std::uint64_t number, const Message& message);
     void notes();
     double rate_of(const Held& held, int rung) const;
@@ -100,7 +109,8 @@
     std::deque<std::pair<std::uint64_t, Message>> waiting_;  // what came while frozen
     std::deque<std::pair<double, double>> fills_;            // time and fill, for notes that speak of before
     std::map<std::uint64_t, bool> was_short_;
-    bool frozen_ = false, spoils_ = false;
+    std::set<std::uint64_t> dead_;  // connections on which nothing passes
+    bool frozen_ = false, spoils_ = false, holds_releases_ = false, garbles_ = false;
     double noted_ = 0, shared_ = 0, smooth_share_ = 1, fill_after_move_most_ = 0;
     std::vector<std::unique_ptr<jasperspread::net::Timer>> second_answers_;
     std::vector<std::function<void()>> thawing_;  // timers that fell due while frozen
--- a/lab/run/socket_world.cpp
+++ b/lab/run/socket_world.cpp
@@ -470,6 +470,18 @@
     if (auto& one = servers_[static_cast<std::size_t>(server)]) one->spoil_answers(spoils);
 }
 
+void SocketWorld::hold_releases(int server, bool holds) {
+    if (auto& one = servers_[static_cast<std::size_t>(server)]) one->hold_releases(holds);
+}
+
+void SocketWorld::deaden_connections(int agent, int server) {
+    if (auto& one = servers_[static_cast<std::size_t>(server)]) one->deaden_connections(agent);
+}
+
+void SocketWorld::garble_lines(int server, bool garbles) {
+    if (auto& one = servers_[static_cast<std::size_t>(server)]) one->garble_lines(garbles);
+}
+
 void SocketWorld::deaf(int from, int to, bool is_deaf) {
     if (slot(from).talks_from)
         slot(to).from_agents->cut(jasperspread::net::to_text(*slot(from).talks_from), is_deaf);
--- a/lab/run/socket_world.h
+++ b/lab/run/socket_world.h
@@ -64,6 +64,9 @@
     void in_pieces(int agent, bool are) override;
     void bad_clients(int agent, bool are) override;
     void spoil_answers(int server, bool spoils) override;
+    void hold_releases(int server, bool holds) override;
+    void deaden_connections(int agent, int server) override;
+    void garble_lines(int server, bool garbles) override;
     // The agent's machine is in a new boot since `up_since`, as its files tell.
     void boots(int agent, double up_since);
     // Datagrams of one agent don't reach the other; those of the other still come.
--- a/lab/soak/soak_plan.cpp
+++ b/lab/soak/soak_plan.cpp
@@ -23,7 +23,8 @@
         case Family::Clients:
             return {BadClients, BadClients, SpoilAnswers, SpoilAnswers, FreezeServer};
         case Family::Network:
-            return {CutLink, CutOneWay, ResetLinks, ResetLinks, FreezeServer, KillServer, KillAgent};
+            return {CutLink,    CutOneWay, ResetLinks,   ResetLinks,        FreezeServer,
+                    KillServer, KillAgent, HoldReleases, DeadenConnections, GarbleLines};
         case Family::Bytes:
             return {Pieces, Pieces, ResetLinks, EndAgent};
     }
@@ -65,8 +66,8 @@
 double lasts(Trouble what, Uniform& draw) {
     constexpr double long_cuts = 0.4;  // part of all: longer than a viewer may wait for word of an end
     if (what == CutLink && draw() < long_cuts) return 9 + 6 * draw();
-    const bool long_one =
-        what == Pieces || what == BadClients || what == SpoilAnswers || what == FreezeServer;
+    const bool long_one = what == Pieces || what == BadClients || what == SpoilAnswers ||
+                          what == FreezeServer || what == HoldReleases || what == GarbleLines;
     return long_one ? 1 + 5 * draw() : what == StopAgent ? 0.05 + 0.15 * draw() : 0.2 + 1.8 * draw();
 }
 
--- a/tests/lab/soak_test.cpp
+++ b/tests/lab/soak_test.cpp
@@ -73,6 +73,23 @@
     sound(plan);
 }
 
+TEST_CASE("soak: servers that hold releases back, on dead connections too, and garble lines") {
+    SoakPlan plan = soak_plan(104, {Family::Network});
+    plan.trial.faults.clear();
+    plan.trial.world.life_s = 4;
+    const int servers = plan.trial.world.servers - plan.trial.world.spares;
+    constexpr double every_s = 0.5, hold_s = 3;
+    for (double at = 0; at + hold_s < plan.trial.seconds; at += every_s) {
+        const int turn = static_cast<int>(at / every_s);
+        const int server = turn % servers, agent = turn % plan.trial.world.agents;
+        const Trouble what = turn % 3 == 0   ? Trouble::HoldReleases
+                             : turn % 3 == 1 ? Trouble::DeadenConnections
+                                             : Trouble::GarbleLines;
+        plan.trial.faults.push_back({at, hold_s, what, server, agent});
+    }
+    sound(plan);
+}
+
 TEST_CASE("soak: shutdowns, network and bytes") {
     sound(102, {Family::Shutdowns, Family::Network, Family::Bytes});
 }
