Say a release again where the server may not have heard of a close, and keep no brief link for good

Whatever connection is closed from here and not closed by the server in its turn now counts as one that it may have written to since: one more comes once it is heard. A brief connection that is the last one takes the place of those that have gone, and those that are only read any more go first where there is no room.

--- a/src/agent/server_connections.cpp
+++ b/src/agent/server_connections.cpp
@@ -133,7 +133,7 @@
 void ServerConnections::note_heard(Server& at) {
     at.watch.heard(loop_.now());
     at.connect_pause = at.connect_not_before = 0;
-    if (std::exchange(at.closed_silent, false)) at.reopen_at = loop_.now() + closed_heard_within_s;
+    if (std::exchange(at.closed_unheard, false)) at.reopen_at = loop_.now() + closed_heard_within_s;
 }
 
 void ServerConnections::drop_releases(ServerNumber number) {
@@ -198,12 +198,26 @@
         return need == Need::Required || !may_be_short || links_ + servers_before(need) < limits_.connections;
     };
     while (!fits()) {
-        const bool made = close_resting() || (need == Need::Required && close_replaced());
+        const bool made =
+            close_lingering() || close_resting() || (need == Need::Required && close_replaced());
         if (!made) return false;
     }
     return true;
 }
 
+// Closes a brief connection that is only read any more; false: there is none.
+bool ServerConnections::close_lingering() {
+    for (auto& [number, at] : servers_) {
+        const auto lingering = std::find_if(at.links.begin(), at.links.end(), [this](const auto& link) {
+            return link->brief && link->closing && link->used + brief_s + rested_s <= loop_.now();
+        });
+        if (lingering == at.links.end()) continue;
+        close_now(**lingering, "room for one that is needed");
+        return true;
+    }
+    return false;
+}
+
 // Closes a silent connection beside which another one is open; false: there is none.
 bool ServerConnections::close_replaced() {
     for (auto& [number, at] : servers_) {
@@ -212,7 +226,7 @@
                    !user_.waits_for_answer(*link);
         });
         if (replaced == at.links.end() || staying(at) <= 1) continue;
-        at.closed_silent = at.closed_silent || !(*replaced)->sessions.empty();
+        at.closed_unheard = at.closed_unheard || !(*replaced)->sessions.empty();
         close_now(**replaced, "room for one that is needed");
         return true;
     }
@@ -382,20 +396,22 @@
     Server& at = server(number);
     const double now = loop_.now();
     for (const auto& link : at.links) {
+        // The only sound one that is left takes the place of those that have gone.
+        if (link->brief && !link->closing && !has_sound(at)) link->brief = false;
         const bool has_sessions = !link->sessions.empty() && !link->avoided;
         const bool needed = has_sessions || (staying(at) == 1 && user_.has_sessions(number));
         if (link->closing || needed || !link->connection.is_open()) continue;
-        if (now < link->used + closes_after(at, *link)) continue;
-        at.closed_silent = at.closed_silent || !link->sessions.empty();
+        if (now < link->used + closes_after(*link)) continue;
+        at.closed_unheard = at.closed_unheard || !link->sessions.empty();
         note("server_connection_closing", *link, "idle");
         link->closing = true;
         link->connection.finish(link->brief ? brief_read_s : Connection::usual_finish_s);
     }
 }
 
-double ServerConnections::closes_after(const Server& at, const Link& link) const {
+double ServerConnections::closes_after(const Link& link) const {
     constexpr double never = std::numeric_limits<double>::infinity();
-    if (link.brief && !link.has_partial_line() && has_sound(at, &link)) return brief_s;
+    if (link.brief && !link.has_partial_line()) return brief_s;
     if (limits_.conn_idle <= 0) return never;
     return link.avoided ? limits_.conn_idle : silence_.idle_after;
 }
@@ -506,7 +522,7 @@
     const auto avoided =
         std::find_if(at.links.begin(), at.links.end(), [](const auto& link) { return link->avoided; });
     if (avoided == at.links.end()) return make_room_in_order(at);
-    at.closed_silent = at.closed_silent || !(*avoided)->sessions.empty();
+    at.closed_unheard = at.closed_unheard || !(*avoided)->sessions.empty();
     close_now(**avoided, "room for the one in its place");
     open(number, Need::Required);
 }
@@ -523,6 +539,8 @@
     at.links.erase(self);
     --links_;
     if (at.releases) at.releases->connection_lost(link.number, loop_.now());
+    // A server that did not close in its turn may have written to it since.
+    if (link.closing && !link.connection.peer_left() && user_.has_sessions(number)) at.closed_unheard = true;
     if (!link.came_up) {
         const double longest = user_.has_sessions(number) ? longest_with_sessions_s : longest_connect_pause_s;
         at.connect_pause = std::clamp(2 * at.connect_pause, maintain_every_s, longest);
--- a/src/agent/server_connections.h
+++ b/src/agent/server_connections.h
@@ -92,9 +92,9 @@
         int failed_connects = 0;           // in a row
         // One on which sessions stood has ended: what was said on it is said again on the next one.
         bool wants_new = false;
-        // A silent connection with sessions was closed from here: what the server says on it before it hears
-        // of that is said again on the next one after this time, once the server is heard again.
-        bool closed_silent = false;
+        // A connection was closed from here and the server may not have heard of that yet: what it has said on
+        // it since is said again on the next one after this time, once the server is heard again.
+        bool closed_unheard = false;
         double reopen_at = 0;                              // 0: not set
         double opened = 0;                                 // the last connection was begun
         double connect_pause = 0, connect_not_before = 0;  // where releases alone wait for a connection
@@ -107,6 +107,7 @@
     enum class Need { SetUp, Replacement, Required };
     Link* open(ServerNumber number, Need need);
     bool has_room(Need need);
+    bool close_lingering();
     bool close_resting();
     bool close_replaced();
     static bool is_sound(const Link& link);
@@ -125,7 +126,7 @@
     double draw();  // from 0 to 1
     void maintain(ServerNumber number);
     void close_rested(ServerNumber number);
-    double closes_after(const Server& at, const Link& link) const;  // s without traffic
+    double closes_after(const Link& link) const;  // s without traffic
     void renew(ServerNumber number);
     bool is_due_a_probe(ServerNumber number, const Server& at) const;
     void probe_silent(ServerNumber number);
