--- a/src/agent/server_connections.cpp
+++ b/src/agent/server_connections.cpp
@@ -4,7 +4,6 @@
 #include <limits>
 #include <utility>
 
-#include "codec/error.h"
 #include "codec/message.h"
 
 namespace jasperspread::agent {
@@ -18,10 +17,6 @@
 // close must never meet a set-up.
 constexpr double stale_part_of_idle = 0.7;
 constexpr double maintain_every_s = 0.25;
-// A connection must have rested so long before it makes room: what was said last on it has been read by then.
-constexpr double rested_s = 0.25;
-// A line that is not whole goes on within so long, s: one that stops short is not an answer that is late.
-constexpr double line_goes_on_within_s = 0.5;
 // A release is sent again on another connection after the first pause, which doubles; no longer than the
 // server may hang or be cut off.
 constexpr RetransmitQueue::Times release_times{30, 1};
@@ -32,98 +27,9 @@
 // A brief connection is closed towards the server after so long without traffic, and still read for so long:
 // a server that stood still sends what it has held there only once it runs again.
 constexpr double brief_s = 1, brief_read_s = 7;
-constexpr double held_release_within_s = 1;  // of a new connection's opening
-constexpr int timeouts_to_vanish = 2;        // that time out in a row before a silent machine counts as gone
 
 }  // namespace
 
-// ---- One connection ----
-
-ServerConnections::Link::Link(ServerConnections& all, ServerNumber at_server, const net::Address& address)
-    : server(at_server),
-      number(++all.opened_),
-      used(all.loop_.now()),
-      heard(used),
-      all_(all),
-      line_timer_(all.loop_),
-      connection(all.loop_, all.pool_, *this, address, all.limits_.connect_timeout, net::Order::Late) {}
-
-void ServerConnections::Link::opened(Connection&) {
-    Server& at = all_.server(server);
-    came_up = true;
-    up_at = heard = used = all_.loop_.now();
-    at.watch.connection_up(up_at, all_.draw());
-    brief = queue.empty() && sessions.empty() && has_sound(at, this);
-    at.failed_connects = 0;
-    at.wants_new = false;
-    all_.note("server_connection_up", *this, "");
-    // That it comes up says little: a frozen process, and whoever stands in between, accepts it too.
-    if (all_.is_due_a_probe(server, at)) all_.probe(at, *this);
-    for (const std::string& text : std::exchange(at.pending, {})) connection.send(text);
-    all_.send_releases(server, *this);
-    all_.user_.link_writable(*this);
-}
-
-std::size_t ServerConnections::Link::received(Connection&, std::string_view bytes) {
-    std::size_t consumed = 0;
-    std::string unreadable;  // what was wrong with the first such line
-    used = all_.loop_.now();
-    while (true) {  // also while it is being closed from here: a release may be among it
-        const std::size_t line_end = bytes.find('\n', consumed);
-        try {
-            const auto decoded = codec::decode_server(bytes.substr(consumed));
-            if (!decoded) break;
-            consumed += decoded->size;
-            take(decoded->message);
-        } catch (const codec::CodecError& error) {
-            if (unreadable.empty()) unreadable = error.what();
-            consumed = line_end == std::string_view::npos ? bytes.size() : line_end + 1;
-        }
-    }
-    // A peer that can't be read ends its own connection only. What came whole behind the line was taken.
-    if (!unreadable.empty()) {
-        close_unreadable(unreadable);
-        return consumed;
-    }
-    // Guards against a line that stops short: what comes after it on this connection can't be told from it.
-    if (consumed < bytes.size()) {
-        line_timer_.set(all_.loop_.now() + line_goes_on_within_s,
-                        [this] { close_unreadable("a line stops short"); });
-    }
-    return consumed;
-}
-
-void ServerConnections::Link::take(const codec::ServerMessage& message) {
-    line_timer_.cancel();
-    note_message();
-    const bool is_held = message.verb == codec::ServerVerb::Finish &&
-                         (brief || all_.loop_.now() <= up_at + held_release_within_s);
-    held_releases += is_held ? 1 : 0;
-    all_.user_.received(*this, message);
-}
-
-// A whole message is a sign of life; bytes that can't be read are none.
-void ServerConnections::Link::note_message() {
-    Server& at = all_.server(server);
-    all_.note_heard(at);
-    at.watch.forget_timeouts();
-    heard = all_.loop_.now();
-    has_spoken = true;
-    avoided = false;
-}
-
-void ServerConnections::Link::close_unreadable(const std::string& why) {
-    all_.log_.warn("server_unreadable", {{"server", std::to_string(server)},
-                                         {"connection", std::to_string(number)},
-                                         {"sessions", std::to_string(sessions.size())},
-                                         {"why", why}});
-    line_timer_.cancel();
-    connection.close();
-    all_.ended(*this, Connection::End::Reset);
-}
-
-// ---- All of them ----
-
 double ServerConnections::draw() {
     if (!random_) random_.emplace(loop_.kernel().random());
     return std::uniform_real_distribution<double>(0, 1)(*random_);
@@ -190,76 +96,6 @@
     return at.wants_new && !is_connecting(at) && needs_connection(number, at);
 }
 
-// How many servers need a connection more than this.
-std::size_t ServerConnections::servers_before(Need need) const {
-    return static_cast<std::size_t>(
-        std::count_if(servers_.begin(), servers_.end(), [this, need](const auto& entry) {
-            const auto& [number, at] = entry;
-            return lacks_connection(number, at) || (need == Need::SetUp && wants_replacement(number, at));
-        }));
-}
-
-// At the bound, connections that rest make room, and for a server that has none also silent ones that have
-// been replaced. Servers without a connection go before replacements, and these before new set-ups.
-bool ServerConnections::has_room(Need need) {
-    const auto fits = [&] {
-        if (links_ >= limits_.connections) return false;
-        const bool may_be_short = links_ + servers_.size() >= limits_.connections;
-        return need == Need::Required || !may_be_short || links_ + servers_before(need) < limits_.connections;
-    };
-    while (!fits()) {
-        const bool made =
-            close_lingering() || close_resting() || (need == Need::Required && close_replaced());
-        if (!made) return false;
-    }
-    return true;
-}
-
-// Closes a brief connection that is only read any more; false: there is none.
-bool ServerConnections::close_lingering() {
-    for (auto& [number, at] : servers_) {
-        const auto lingering = std::find_if(at.links.begin(), at.links.end(), [this](const auto& link) {
-            return link->brief && link->closing && link->used + brief_s + rested_s <= loop_.now();
-        });
-        if (lingering == at.links.end()) continue;
-        close_now(**lingering, "room for one that is needed");
-        return true;
-    }
-    return false;
-}
-
-// Closes a silent connection beside which another one is open; false: there is none.
-bool ServerConnections::close_replaced() {
-    for (auto& [number, at] : servers_) {
-        const auto replaced = std::find_if(at.links.begin(), at.links.end(), [this](const auto& link) {
-            return link->avoided && link->connection.is_open() && !link->closing &&
-                   !user_.waits_for_answer(*link);
-        });
-        if (replaced == at.links.end() || staying(at) <= 1) continue;
-        at.closed_unheard = at.closed_unheard || !(*replaced)->sessions.empty();
-        close_now(**replaced, "room for one that is needed");
-        return true;
-    }
-    return false;
-}
-
-// Closes the connection that rested longest of those that nothing needs; false: there is none.
-bool ServerConnections::close_resting() {
-    Link* oldest = nullptr;
-    for (const auto& [number, at] : servers_) {
-        const bool last_is_needed = user_.has_sessions(number) && staying(at) <= 1;
-        for (const auto& link : at.links) {
-            const bool rests = link->connection.is_open() && !link->closing && link->sessions.empty() &&
-                               link->used + rested_s <= loop_.now() && !link->connection.has_unread();
-            if (!rests || last_is_needed) continue;
-            if (oldest == nullptr || link->used < oldest->used) oldest = link.get();
-        }
-    }
-    if (oldest == nullptr) return false;
-    close_now(*oldest, "room for one that is needed");
-    return true;
-}
-
 ServerConnections::Link* ServerConnections::open(ServerNumber number, Need need) {
     const KnownServer* known = directory_.find(number);
     Server& at = server(number);
@@ -595,7 +431,7 @@
 // Releases that came on a new connection at once, or on a brief one: the server could not send them before.
 void ServerConnections::report_held_releases(ServerNumber number) {
     for (const auto& link : server(number).links) {
-        if (link->held_releases == 0 || loop_.now() <= link->up_at + held_release_within_s) continue;
+        if (link->held_releases == 0 || loop_.now() <= link->up_at + Link::held_release_s) continue;
         log_.info("held_releases_came",
                   {{"server", std::to_string(number)},
                    {"connection", std::to_string(link->number)},
--- a/src/agent/server_connections.h
+++ b/src/agent/server_connections.h
@@ -168,11 +168,13 @@
     void ended(net::Connection&, net::Connection::End why) override { all_.ended(*this, why); }
 
     const ServerNumber server;
-    const std::uint64_t number;     // from 1, of this process
-    std::deque<SessionId> queue;    // set-ups not yet written
-    std::set<SessionId> sessions;   // set-ups and sessions that were set up here
-    double up_at = 0;               // since when it is open; 0: it never was
-    bool has_spoken = false;        // a message came on it
+    const std::uint64_t number;    // from 1, of this process
+    std::deque<SessionId> queue;   // set-ups not yet written
+    std::set<SessionId> sessions;  // set-ups and sessions that were set up here
+    double up_at = 0;              // since when it is open; 0: it never was
+    bool has_spoken = false;       // a message came on it
+    // A release that comes so long after a connection's opening was held for it, s.
+    static constexpr double held_release_s = 1;
     std::size_t held_releases = 0;  // that came as soon as it was open, and were not reported yet
     double used;                    // last traffic
     double heard;                   // last bytes from the server, or since when it is there
