Excuse a set-up after an agent's death for what the laboratory's stall hid

A finding tells now how long before its end a set-up was asked. Test: excused within 0.1 s and with a stall, found without one and beyond it.

--- a/lab/model/ledger.cpp
+++ b/lab/model/ledger.cpp
@@ -18,6 +18,8 @@
 constexpr double released_within_s = 1, unsent_within_s = 8;
 // A viewer may write to a process that died so long before it hears of that, s.
 constexpr double death_unheard_s = 0.1;
+// What is added to a time for each second in which the laboratory stalled.
+constexpr double for_each_stalled = 2;
 // And a process that dies by itself is found dead so long after that, at most, s.
 constexpr double death_noticed_s = 0.5;
 int link_number(int agent, int server) {
@@ -58,7 +60,6 @@
 // agents, in their turn, too: twice that time is added, and no more is excused by it.
 bool Ledger::late(SessionId id, int server, double troubles_from, double since, double due,
                   double now) const {
-    constexpr double for_each_stalled = 2;
     if (now <= due + for_each_stalled * stalls_.length(0, since, now)) return false;
     const int agent = holder(id);
     if (stopped_.overlap(agent, troubles_from, now) || unreached_.overlap(agent, troubles_from, now))
@@ -203,7 +204,9 @@
 bool Ledger::excuse(const Lost& lost) {
     Viewed& viewed = viewed_.at(lost.id);
     for (const Death& death : deaths_[agent_of(lost.id)]) {
-        if (death.at < viewed.asked - death_unheard_s || death.at > lost.at + death_noticed_s) continue;
+        // What the laboratory did not hear while it stalled, it heard so much later.
+        const double unheard_s = death_unheard_s + for_each_stalled * stalls_.length(0, death.at, lost.at);
+        if (death.at < viewed.asked - unheard_s || death.at > lost.at + death_noticed_s) continue;
         constexpr double answers_before_kill_s = 0.5;
         const bool stood = stopped_.overlap(agent_of(lost.id), death.at - answers_before_kill_s, death.at);
         if (viewed.asked > death.excuses_until && !stood) continue;
@@ -423,8 +426,11 @@
 
 void Ledger::close(double now) {
     for (const Lost& lost : std::exchange(lost_, {})) {
-        if (!excuse(lost))
-            violate("lost: its connection ended with no whole answer " + std::to_string(lost.id), lost.at);
+        if (excuse(lost)) continue;
+        const std::string waited_ms = jasperspread::codec::whole_ms(lost.at - viewed_.at(lost.id).asked);
+        violate("lost: its connection ended with no whole answer, asked " + waited_ms + " ms before " +
+                    std::to_string(lost.id),
+                lost.at);
     }
     for (auto& [id, viewed] : viewed_) {
         if (!viewed.settled && now > viewed.deadline + plan_.slack_s)
