Review: show that releases on a connection opened for a replaced server are passed over

The new server at that address tells its sessions' ends there; the agent acknowledges them and tells the viewers over 4 s later.

--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -388,6 +388,7 @@
         std::string cls;
         int rung = 0;
         double since = 0;
+        double lasts = 0;  // s from its answer; 0: no end of its own
         bool answered = false;
         std::weak_ptr<Connection> on;
     };
@@ -433,7 +434,33 @@
         sessions_.clear();
         owed_.clear();
     }
+    void reset_connections() {
+        const auto connections = connections_;
+        for (const auto& connection : connections) {
+            if (!connection->open()) continue;
+            connection->reset();
+            left(*connection);
+        }
+    }
+    // It can't send releases, though it says all else: they wait for the next connection.
+    void hold(bool holds) {
+        holds_ = holds;
+        held_ever = held_ever || holds;
+    }
+    bool held_ever = false;
+    // Sends a release on the next connection too, whether it was heard or not: as the page has it. Else only
+    // where it was not.
+    bool tells_twice = false;
     bool runs() const { return runs_; }
+    // The process stands still: it reads and says nothing, its kernel goes on accepting.
+    void freeze(bool frozen) {
+        record_.say("server %s %s", id.c_str(), frozen ? "freezes" : "thaws");
+        frozen_ = frozen;
+        if (frozen) return;
+        const auto connections = connections_;
+        for (const auto& connection : connections) heard(*connection);
+        for (const auto& task : std::exchange(thawing_, {})) task();
+    }
     Json entry(int agent, const std::string& phase, double up_since = 0) const {
         return {{"id", id},
                 {"host_port", host(agent) + ":" + std::to_string(port)},
@@ -446,9 +473,11 @@
     }
     // A session's own end: it is over here, and its release goes out.
     void end(std::uint64_t session, int cause) {
+        if (frozen_) return thawing_.push_back([this, session, cause] { end(session, cause); });
         const auto it = sessions_.find(session);
         if (it == sessions_.end()) return;
         const int agent = it->second.agent;
+        released_at[session] = now();
         auto on = it->second.on.lock();
         sessions_.erase(it);
         ended_at[session] = now();
@@ -456,7 +485,7 @@
             {"verb", "FINISH"}, {"tag", hex(session)}, {"opts", Json::object()}, {"rc", cause}};
         record_.say("%s -> agent %d FINISH %s rc %d", id.c_str(), agent, hex(session).c_str(), cause);
         if (!on || !on->open()) on = any(agent);
-        if (on) say(*on, line);
+        if (on && !holds_) say(*on, line);
         owed_[agent][session] = line;
     }
     double x0() const {
@@ -475,7 +504,7 @@
     double answer_after = 0.005;
     std::function<bool(Connection&, const Json&)> before;  // true: the line was dealt with
     std::map<std::uint64_t, Session> sessions() const { return sessions_; }
-    std::map<std::uint64_t, double> ended_at;
+    std::map<std::uint64_t, double> ended_at, released_at;  // sessions that stood here; by its own release
     std::vector<Seen> seen;
 
     void say(Connection& connection, const Json& line) { connection.send(line.dump() + "\n"); }
@@ -488,7 +517,12 @@
         connection->tag = agent;
         connections_.push_back(connection);
         record_.say("%s: a connection of agent %d", id.c_str(), agent);
-        for (const auto& [session, line] : owed_[agent]) say(*connection, line);
+        for (const auto& [session, line] : owed_[agent]) {
+            record_.say("%s -> agent %d FINISH %s on its next connection", id.c_str(), agent,
+                        hex(session).c_str());
+            say(*connection, line);
+        }
+        if (tells_twice) owed_[agent].clear();
     }
     void left(Connection& from) {
         for (auto it = sessions_.begin(); it != sessions_.end();) {
@@ -514,6 +548,7 @@
         return nullptr;
     }
     void heard(Connection& from) {
+        if (frozen_) return;
         for (std::size_t end = from.in.find('\n'); end != std::string::npos; end = from.in.find('\n')) {
             const Json line = Json::parse(from.in.substr(0, end), nullptr, false);
             from.in.erase(0, end + 1);
@@ -541,6 +576,9 @@
             held.cls = line["opts"].value("class", "");
             held.rung = std::stoi(line["opts"].value("rung", "0"));
             held.since = now();
+            const std::string offer = line.value("blob", "");
+            if (const std::size_t lasts = offer.find("lasts "); lasts != std::string::npos)
+                held.lasts = std::atof(offer.c_str() + lasts + 6);
             held.on = shared(from);
             sessions_[session] = held;
             loop_.after(answer_after, [this, session] { answer(session); });
@@ -552,7 +590,7 @@
             owed_[from.tag].erase(session);
             say(from, {{"verb", "FINISHED"}, {"tag", hex(session)}, {"opts", Json::object()}});
         } else if (verb == "FINISHED") {
-            owed_[from.tag].erase(session);
+            if (!tells_twice) owed_[from.tag].erase(session);
         } else if (verb == "RATE") {
             if (it != sessions_.end()) it->second.rung = std::stoi(line["opts"].value("rung", "0"));
         } else if (verb == "ECHO") {
@@ -565,6 +603,7 @@
         return text;
     }
     void answer(std::uint64_t session) {
+        if (frozen_) return thawing_.push_back([this, session] { answer(session); });
         const auto it = sessions_.find(session);
         if (it == sessions_.end() || it->second.answered || !runs_) return;
         const auto on = it->second.on.lock();
@@ -576,6 +615,7 @@
                   {"opts", {{"load", load()}}},
                   {"blob", "made by " + id + " for " + hex(session)}});
         note(session, *on);
+        if (it->second.lasts > 0) loop_.after(it->second.lasts, [this, session] { end(session, 16); });
     }
     void note(std::uint64_t session, Connection& on) {
         char value[32];
@@ -584,7 +624,7 @@
     }
     void notes() {
         loop_.after(site_.told_every, [this] { notes(); });
-        if (!runs_) return;
+        if (!runs_ || frozen_) return;
         std::set<int> told;
         for (const auto& [session, held] : sessions_) {
             if (!held.answered || !told.insert(held.agent).second) continue;
@@ -597,7 +637,8 @@
     Loop& loop_;
     Record& record_;
     const Site& site_;
-    bool runs_ = false;
+    bool runs_ = false, frozen_ = false, holds_ = false;
+    std::vector<std::function<void()>> thawing_;  // what fell due while it stood still
     std::vector<std::unique_ptr<Listener>> listeners_;
     std::vector<std::unique_ptr<DeadAddress>> dead_;
     std::vector<std::shared_ptr<Connection>> connections_;
@@ -749,7 +790,7 @@
                               {72, hex(0x7f3a0000 + asked_ % 5)},
                               {84, std::to_string(hint_s * 1000)},
                               {74, figures},
-                              {94, "offer of " + hex(id)}}));
+                              {94, "offer of " + hex(id) + ", lasts " + std::to_string(hint_s)}}));
         }
         loop_.at(request.until, [this, id] { give_up(id); });
         return request;
