--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -290,6 +290,7 @@
     double told_every = 2.75, told_late = 0.906;
     double conn_idle = 15;
     bool probes = true;
+    int seats = 0;  // of a title of the first class; 0: any number
     Json settings(int position) const {
         return {
             {"areas", {"main-building", "annex"}},
@@ -330,9 +331,9 @@
               {"scale_by_class", {1.2, 0.7}},
               {"floor_by_class", {0, 0}},
               {"top_by_class", {5, 5}},
-              {"seats", {0, 0}},
-              {"is_live", {false, false}},
-              {"shared_adds", 1.0},
+              {"seats", {seats, 0}},
+              {"is_live", {seats > 0, false}},
+              {"shared_adds", seats > 0 ? 0.3 : 1.0},
               {"guard", 1.2},
               {"stall_cost", 9.0},
               {"switch_cost_s", 0.43},
@@ -402,12 +403,15 @@
 
     void start() {
         dead_.clear();
+        listen();
+        runs_ = true;
+        record_.say("server %s starts", id.c_str());
+    }
+    void listen() {
         for (int agent = 0; agent < site_.agents; ++agent) {
             listeners_.push_back(std::make_unique<Listener>(loop_, host(agent), port,
                                                             [this, agent](int fd) { accepted(agent, fd); }));
         }
-        runs_ = true;
-        record_.say("server %s starts", id.c_str());
     }
     static std::string host(int agent) { return "127.0.0." + std::to_string(agent + 1); }
     // The machine vanishes: nothing is said any more, connections stay open, new ones never come up.
@@ -447,6 +451,11 @@
         holds_ = holds;
         held_ever = held_ever || holds;
     }
+    // At its cap of connections: new ones are refused, those that are open stay.
+    void refuse_new(bool refuses) {
+        listeners_.clear();
+        if (!refuses) listen();
+    }
     bool held_ever = false;
     // Sends a release on the next connection too, whether it was heard or not: as the page has it. Else only
     // where it was not.
@@ -505,6 +514,7 @@
     std::function<bool(Connection&, const Json&)> before;  // true: the line was dealt with
     std::map<std::uint64_t, Session> sessions() const { return sessions_; }
     std::map<std::uint64_t, double> ended_at, released_at;  // sessions that stood here; by its own release
+    std::map<std::uint64_t, double> closed_at;              // set-ups given up with their connections
     std::vector<Seen> seen;
 
     void say(Connection& connection, const Json& line) { connection.send(line.dump() + "\n"); }
@@ -527,6 +537,7 @@
     void left(Connection& from) {
         for (auto it = sessions_.begin(); it != sessions_.end();) {
             const bool given_up = !it->second.answered && it->second.on.lock().get() == &from;
+            if (given_up) closed_at[it->first] = now();
             if (given_up)
                 record_.say("%s: set-up %s given up with its connection", id.c_str(), hex(it->first).c_str());
             it = given_up ? sessions_.erase(it) : std::next(it);
@@ -804,8 +815,6 @@
         if (const auto on = some(request)) on->send(message(12, id, {{92, std::string(1, 16)}}));
     }
     std::map<std::uint64_t, Request> requests;
-
-private:
     static std::string message(int type, std::uint64_t id,
                                const std::vector<std::pair<int, std::string>>& parameters) {
         std::string body(1, static_cast<char>(type));
@@ -821,6 +830,8 @@
         out.push_back(static_cast<char>(body.size()));
         return out + body;
     }
+
+private:
     std::shared_ptr<Connection> connect_to() {
         const int fd = open_socket();
         const sockaddr_in address = address_of("127.0.0.1", port_);
@@ -982,6 +993,13 @@
         process_ = 0;
     }
     int port() const { return listen_; }
+    double memory_mb() const {
+        std::ifstream status("/proc/" + std::to_string(process_) + "/status");
+        for (std::string line; process_ > 0 && std::getline(status, line);) {
+            if (line.starts_with("VmRSS:")) return std::atof(line.c_str() + 6) / 1024;
+        }
+        return 0;
+    }
 
 private:
     std::string path() const { return folder_ + "/config" + std::to_string(number_) + ".json"; }
