--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -48,7 +48,7 @@
                                 {{64, "replay"},
                                  {72, hex(0x7f3a0001)},
                                  {74, "home:0;copies:3;top:5;viewer:" + hex(id) + ";at:" + server_},
-                                 {94, std::string(16000, 'x')}});
+                                 {94, "offer"}});
     }
     void leave(const char* why) {
         if (fd_ < 0) return;
