--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -290,7 +290,6 @@
     double told_every = 2.75, told_late = 0.906;
     double conn_idle = 15;
     bool probes = true;
-    int seats = 0;  // of a title of the first class; 0: any number
     Json settings(int position) const {
         return {
             {"areas", {"main-building", "annex"}},
@@ -331,9 +330,9 @@
               {"scale_by_class", {1.2, 0.7}},
               {"floor_by_class", {0, 0}},
               {"top_by_class", {5, 5}},
-              {"seats", {seats, 0}},
-              {"is_live", {seats > 0, false}},
-              {"shared_adds", seats > 0 ? 0.3 : 1.0},
+              {"seats", {0, 0}},
+              {"is_live", {false, false}},
+              {"shared_adds", 1.0},
               {"guard", 1.2},
               {"stall_cost", 9.0},
               {"switch_cost_s", 0.43},
@@ -438,38 +437,10 @@
         sessions_.clear();
         owed_.clear();
     }
-    void reset_connections() {
-        const auto connections = connections_;
-        for (const auto& connection : connections) {
-            if (!connection->open()) continue;
-            connection->reset();
-            left(*connection);
-        }
-    }
-    // It can't send releases, though it says all else: they wait for the next connection.
-    void hold(bool holds) {
-        holds_ = holds;
-        held_ever = held_ever || holds;
-    }
-    // At its cap of connections: new ones are refused, those that are open stay.
-    void refuse_new(bool refuses) {
-        listeners_.clear();
-        if (!refuses) listen();
-    }
-    bool held_ever = false;
     // Sends a release on the next connection too, whether it was heard or not: as the page has it. Else only
     // where it was not.
     bool tells_twice = false;
     bool runs() const { return runs_; }
-    // The process stands still: it reads and says nothing, its kernel goes on accepting.
-    void freeze(bool frozen) {
-        record_.say("server %s %s", id.c_str(), frozen ? "freezes" : "thaws");
-        frozen_ = frozen;
-        if (frozen) return;
-        const auto connections = connections_;
-        for (const auto& connection : connections) heard(*connection);
-        for (const auto& task : std::exchange(thawing_, {})) task();
-    }
     Json entry(int agent, const std::string& phase, double up_since = 0) const {
         return {{"id", id},
                 {"host_port", host(agent) + ":" + std::to_string(port)},
@@ -482,7 +453,6 @@
     }
     // A session's own end: it is over here, and its release goes out.
     void end(std::uint64_t session, int cause) {
-        if (frozen_) return thawing_.push_back([this, session, cause] { end(session, cause); });
         const auto it = sessions_.find(session);
         if (it == sessions_.end()) return;
         const int agent = it->second.agent;
@@ -494,7 +464,7 @@
             {"verb", "FINISH"}, {"tag", hex(session)}, {"opts", Json::object()}, {"rc", cause}};
         record_.say("%s -> agent %d FINISH %s rc %d", id.c_str(), agent, hex(session).c_str(), cause);
         if (!on || !on->open()) on = any(agent);
-        if (on && !holds_) say(*on, line);
+        if (on) say(*on, line);
         owed_[agent][session] = line;
     }
     double x0() const {
@@ -514,11 +484,9 @@
     std::function<bool(Connection&, const Json&)> before;  // true: the line was dealt with
     std::map<std::uint64_t, Session> sessions() const { return sessions_; }
     std::map<std::uint64_t, double> ended_at, released_at;  // sessions that stood here; by its own release
-    std::map<std::uint64_t, double> closed_at;              // set-ups given up with their connections
     std::vector<Seen> seen;
 
     void say(Connection& connection, const Json& line) { connection.send(line.dump() + "\n"); }
-    void stand(std::uint64_t session, Connection&) { answer(session); }
 
 private:
     void accepted(int agent, int fd) {
@@ -537,7 +505,6 @@
     void left(Connection& from) {
         for (auto it = sessions_.begin(); it != sessions_.end();) {
             const bool given_up = !it->second.answered && it->second.on.lock().get() == &from;
-            if (given_up) closed_at[it->first] = now();
             if (given_up)
                 record_.say("%s: set-up %s given up with its connection", id.c_str(), hex(it->first).c_str());
             it = given_up ? sessions_.erase(it) : std::next(it);
@@ -559,7 +526,6 @@
         return nullptr;
     }
     void heard(Connection& from) {
-        if (frozen_) return;
         for (std::size_t end = from.in.find('\n'); end != std::string::npos; end = from.in.find('\n')) {
             const Json line = Json::parse(from.in.substr(0, end), nullptr, false);
             from.in.erase(0, end + 1);
@@ -614,7 +580,6 @@
         return text;
     }
     void answer(std::uint64_t session) {
-        if (frozen_) return thawing_.push_back([this, session] { answer(session); });
         const auto it = sessions_.find(session);
         if (it == sessions_.end() || it->second.answered || !runs_) return;
         const auto on = it->second.on.lock();
@@ -635,7 +600,7 @@
     }
     void notes() {
         loop_.after(site_.told_every, [this] { notes(); });
-        if (!runs_ || frozen_) return;
+        if (!runs_) return;
         std::set<int> told;
         for (const auto& [session, held] : sessions_) {
             if (!held.answered || !told.insert(held.agent).second) continue;
@@ -648,8 +613,7 @@
     Loop& loop_;
     Record& record_;
     const Site& site_;
-    bool runs_ = false, frozen_ = false, holds_ = false;
-    std::vector<std::function<void()>> thawing_;  // what fell due while it stood still
+    bool runs_ = false;
     std::vector<std::unique_ptr<Listener>> listeners_;
     std::vector<std::unique_ptr<DeadAddress>> dead_;
     std::vector<std::shared_ptr<Connection>> connections_;
