Take whoever has a gone server's address for itself, by one rule

Cause: connections, releases and attempts go by a server's number, but reach an address. When the list told that the address was another server's, sessions at the old number ended, and its connections, releases and attempts stayed in use beside the successor's.

Change: ServerDirectory::holder_of_address says whose process is reached at a server's address. Connections of a superseded server are closed and none is opened, its releases go to the successor, messages are the word of the holder, sessions placed there are over, and a set-up that may have run at the address under another number is not sent there again.

Why it works: once the list tells, nothing of the old number can reach, or be taken for, what the successor holds, and no id that may live there is ever set up there anew.

--- a/src/agent/directory.cpp
+++ b/src/agent/directory.cpp
@@ -15,6 +15,11 @@
 
 constexpr double most_count = 1e9, most_ms = 1e15;
 
+std::uint64_t key_of(const net::Address& address) {
+    constexpr int port_bits = 16;
+    return (std::uint64_t{address.in.sin_addr.s_addr} << port_bits) | address.in.sin_port;
+}
+
 const Json& member(const Json& object, const char* name) {
     const auto it = object.is_object() ? object.find(name) : object.end();
     if (!object.is_object() || it == object.end()) throw SettingsError(std::string("expected ") + name);
@@ -106,11 +111,15 @@
     std::set<ServerNumber> named;
     for (const MemberChange& member : change.members) {
         const ServerNumber own = number_for(member.id);
-        KnownServer& server = servers_[own];
+        const auto [known, is_new] = servers_.try_emplace(own);
+        KnownServer& server = known->second;
+        const bool arrives =
+            is_new || server.entry.state == ServerState::Gone || !(server.address == member.address);
         server.id = member.id;
         server.address = member.address;
         server.entry = member.entry;
         server.entry.server = own;
+        if (arrives && server.entry.state != ServerState::Gone) holders_[key_of(server.address)] = own;
         named.insert(own);
         list.entries.push_back(server.entry);
     }
@@ -129,11 +138,11 @@
     return list;
 }
 
-bool ServerDirectory::address_was_reused(const KnownServer& gone) const {
-    return std::any_of(servers_.begin(), servers_.end(), [&](const auto& listed) {
-        const KnownServer& other = listed.second;
-        return other.id != gone.id && other.entry.state != ServerState::Gone && other.address == gone.address;
-    });
+ServerNumber ServerDirectory::holder_of_address(ServerNumber number) const {
+    const KnownServer* known = find(number);
+    if (known == nullptr) return number;
+    const auto holder = holders_.find(key_of(known->address));
+    return holder == holders_.end() ? number : holder->second;
 }
 
 void ServerDirectory::forget_gone(double now, const std::function<bool(ServerNumber)>& held) {
@@ -143,7 +152,10 @@
         const bool gone = server.entry.state == ServerState::Gone;
         server.gone_since = gone ? std::optional(server.gone_since.value_or(now)) : std::nullopt;
         const bool forget = gone && now >= *server.gone_since + remembered_s && !held(number);
-        if (forget) numbers_.erase(server.id);
+        if (forget) {
+            numbers_.erase(server.id);
+            std::erase_if(holders_, [own = number](const auto& holder) { return holder.second == own; });
+        }
         it = forget ? servers_.erase(it) : std::next(it);
     }
 }
--- a/src/agent/directory.h
+++ b/src/agent/directory.h
@@ -10,6 +10,7 @@
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "agent/settings.h"
@@ -55,8 +56,11 @@
     void forget_gone(double now, const std::function<bool(ServerNumber)>& held);
     // Also finds servers that have gone, while sessions may still stand there.
     const KnownServer* find(ServerNumber number) const;
-    // Whether a server that is listed has the address of this one, which has gone: its process is gone too.
-    bool address_was_reused(const KnownServer& gone) const;
+    // The server whose process listens at the address of this one: the one that was listed there last. Where
+    // that is another one, the process of this one is gone, and whoever is reached at its address is its
+    // successor.
+    ServerNumber holder_of_address(ServerNumber number) const;
+    bool is_superseded(ServerNumber number) const { return holder_of_address(number) != number; }
     std::optional<ServerNumber> number_of(const std::string& id) const;
     const std::map<ServerNumber, KnownServer>& servers() const { return servers_; }
     std::uint64_t revision() const { return revision_; }  // of the latest change
@@ -65,6 +69,7 @@
     ServerNumber number_for(const std::string& id);
     std::map<std::string, ServerNumber> numbers_;
     std::map<ServerNumber, KnownServer> servers_;
+    std::unordered_map<std::uint64_t, ServerNumber> holders_;  // by address
     std::uint64_t revision_ = 0;
 };
 
--- a/src/agent/retransmit_queue.cpp
+++ b/src/agent/retransmit_queue.cpp
@@ -42,6 +42,16 @@
     }
 }
 
+void RetransmitQueue::take_all(RetransmitQueue&& other, double now) {
+    for (const auto& [added_at, id] : other.by_age_) {
+        if (messages_.contains(id)) continue;
+        messages_[id] =
+            Message{std::move(other.messages_.at(id).bytes), added_at, now, times_.first_pause_s, 0};
+        by_age_.emplace(added_at, id);
+        by_due_.emplace(now, id);
+    }
+}
+
 std::vector<RetransmitQueue::SessionId> RetransmitQueue::due(double now) const {
     std::vector<SessionId> ids;
     for (const auto& [at, id] : by_due_) {
--- a/src/agent/retransmit_queue.h
+++ b/src/agent/retransmit_queue.h
@@ -36,6 +36,8 @@
     // What was sent there last may never have been read: it is due at once.
     void connection_lost(ConnectionNumber on, double now);
     void drop_expired(double now);
+    // Takes in all messages of another queue, each with its age; they are due at once.
+    void take_all(RetransmitQueue&& other, double now);
     // All that are due, ascending by session.
     std::vector<SessionId> due(double now) const;
 
--- a/src/agent/server_connection.cpp
+++ b/src/agent/server_connection.cpp
@@ -78,7 +78,7 @@
 
 // A whole message is a sign of life; bytes that can't be read are none.
 void ServerConnections::Link::note_message() {
-    Server& at = all_.server(server);
+    Server& at = all_.server(speaker());
     all_.note_heard(at);
     at.watch.forget_timeouts();
     heard = all_.loop_.now();
--- a/src/agent/server_connections.cpp
+++ b/src/agent/server_connections.cpp
@@ -99,6 +99,7 @@
 ServerConnections::Link* ServerConnections::open(ServerNumber number, Need need) {
     const KnownServer* known = directory_.find(number);
     Server& at = server(number);
+    if (directory_.is_superseded(number)) known = nullptr;
     if (known == nullptr || at.links.size() >= links_per_server || !has_room(need)) {
         if (log_.wants(Level::Debug)) {
             const char* why = known == nullptr                      ? "not listed"
@@ -148,6 +149,7 @@
 // On its own connection, another one that is open, or the next one.
 void ServerConnections::send(ServerNumber number, const Link* preferred,
                              const codec::ServerMessage& message) {
+    if (directory_.is_superseded(number)) return;  // what it was about ended with its process
     Server& at = server(number);
     const std::string text = encode(message);
     if (Link* link = open_link(at, preferred)) {
@@ -161,6 +163,7 @@
 
 void ServerConnections::release(ServerNumber number, const Link* preferred,
                                 const codec::ServerMessage& message) {
+    number = directory_.holder_of_address(number);  // it may have taken the set-up
     Server& at = server(number);
     if (!at.releases) at.releases = std::make_unique<RetransmitQueue>(release_times);
     Link* const link = open_link(at, preferred);
@@ -179,6 +182,37 @@
     if (at.releases->empty()) at.releases.reset();
 }
 
+void ServerConnections::listed() {
+    std::vector<ServerNumber> superseded;
+    for (const auto& [number, at] : servers_) {
+        const bool holds_any = !at.links.empty() || !at.pending.empty() || at.releases;
+        if (holds_any && directory_.is_superseded(number)) superseded.push_back(number);
+    }
+    for (const ServerNumber number : superseded)
+        give_to_successor(number, directory_.holder_of_address(number));
+}
+
+// Its process is gone, and each of its connections either dead or one to the successor. Set-ups and sessions
+// are placed by the server's number, so nothing more may be said or heard on these. Releases are for whoever
+// has taken the set-up, which may be the successor.
+void ServerConnections::give_to_successor(ServerNumber number, ServerNumber successor) {
+    Server& at = server(number);
+    log_.info("server_superseded", {{"server", std::to_string(number)},
+                                    {"successor", std::to_string(successor)},
+                                    {"connections", std::to_string(at.links.size())},
+                                    {"releases", std::to_string(at.releases ? at.releases->size() : 0)}});
+    at.pending.clear();
+    if (at.releases) {
+        Server& to = server(successor);
+        if (!to.releases) to.releases = std::make_unique<RetransmitQueue>(release_times);
+        to.releases->take_all(std::move(*at.releases), loop_.now());
+        at.releases.reset();
+    }
+    const std::vector<std::shared_ptr<Link>> links = at.links;
+    for (const auto& link : links) close_now(*link, "another server has its address");
+    if (needs_connection(successor, server(successor))) ensure_connection(successor);
+}
+
 // Those that are due, on this connection.
 void ServerConnections::send_releases(ServerNumber number, Link& link) {
     Server& at = server(number);
--- a/src/agent/server_connections.h
+++ b/src/agent/server_connections.h
@@ -74,6 +74,9 @@
     // acknowledged or too old.
     void release(ServerNumber number, const Link* preferred, const codec::ServerMessage& message);
     void release_acknowledged(ServerNumber number, SessionId id);
+    // The directory has changed: what is there for servers whose address another one has now goes to that
+    // one.
+    void listed();
     void ensure_connection(ServerNumber number);  // one at least, as long as something stands there
     void sessions_begin(ServerNumber number);     // the first one of a server that had none
     bool has_open_link(ServerNumber number) { return open_link(server(number), nullptr) != nullptr; }
@@ -136,6 +139,7 @@
     bool is_silent(const Server& at, const Link& link) const;
     void replace_silent(ServerNumber number);
     void close_now(Link& link, std::string_view why);
+    void give_to_successor(ServerNumber number, ServerNumber successor);
     static bool is_connecting(const Server& at);
     void make_room_in_order(Server& at);
     void open_wanted(ServerNumber number);
@@ -167,6 +171,9 @@
     void writable(net::Connection&) override { all_.user_.link_writable(*this); }
     void ended(net::Connection&, net::Connection::End why) override { all_.ended(*this, why); }
 
+    // Who speaks on it: the server that it was opened for, or whoever has its address now.
+    ServerNumber speaker() const { return all_.directory_.holder_of_address(server); }
+
     const ServerNumber server;
     const std::uint64_t number;    // from 1, of this process
     std::deque<SessionId> queue;   // set-ups not yet written
--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -1,6 +1,7 @@
 #include "server_links.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "agent/server_words.h"
@@ -71,6 +72,9 @@
         // Read before it is over: its end may send it out again under the same id, on a new entry.
         const State state = it->second.state;
         if (state == State::Written) {
+            // Closed from here as another server has its address, which may have answered just now.
+            if (directory_.is_superseded(number))
+                connections_.release(number, nullptr, word(ServerVerb::Finish, id, cause_ok));
             attempt_over(id, Ending::Dropped, {});
         } else if (state == State::Queued && !link.came_up) {
             // That no descriptor was left here says nothing of the server.
@@ -116,7 +120,8 @@
     for (const auto& [number, at] : servers_) {
         const KnownServer* known = directory_.find(number);
         if (known == nullptr) continue;
-        if (!known->may_take_new()) unsent.insert(unsent.end(), at.queued.begin(), at.queued.end());
+        const bool may_take = known->may_take_new() && !directory_.is_superseded(number);
+        if (!may_take) unsent.insert(unsent.end(), at.queued.begin(), at.queued.end());
         if (at.standing.empty()) continue;
         const double died_at = died_after(*known, at);
         for (const auto& [since, id] : at.standing) {
@@ -135,6 +140,7 @@
         erase(id);
         events_.session_ended(id, Ending::Dropped, {});
     }
+    connections_.listed();
 }
 
 // Whoever has the server's address now may have taken the set-up before the list told of it.
@@ -147,8 +153,9 @@
 // started later does not know them, and one that left the list has died if it broke its connections or
 // another server has its address. Connecting there proves nothing, as whoever has the address now accepts.
 double ServerLinks::died_after(const KnownServer& known, const Server& at) const {
-    if (known.entry.state != cinderfront::ServerState::Gone) return known.entry.last_start.value_or(0);
-    return directory_.address_was_reused(known) ? loop_.now() : at.broken_at;
+    if (directory_.is_superseded(known.entry.server)) return std::numeric_limits<double>::infinity();
+    const bool is_listed = known.entry.state != cinderfront::ServerState::Gone;
+    return is_listed ? known.entry.last_start.value_or(0) : at.broken_at;
 }
 
 bool ServerLinks::holds(ServerNumber number) {
@@ -199,7 +206,8 @@
         const Attempt& attempt = it->second.attempt;
         const KnownServer* known = directory_.find(attempt.server);
         const double left = attempt.give_up_at - loop_.now();
-        if (left <= 0 || known == nullptr || !known->may_take_new()) {
+        const bool may_take = known != nullptr && known->may_take_new();
+        if (left <= 0 || !may_take || directory_.is_superseded(attempt.server)) {
             link.queue.pop_front();
             attempt_over(id, Ending::Unused, {});
             continue;
@@ -301,6 +309,8 @@
 }
 
 void ServerLinks::adopt(SessionId id, ServerNumber number) {
+    // Its server went before it was handed over, and whoever is reached there does not know it.
+    if (directory_.is_superseded(number)) return events_.session_ended(id, Ending::Dropped, {});
     Entry entry;
     if (const auto it = entries_.find(id); it != entries_.end()) entry = it->second;
     entry.attempt.id = id;
@@ -316,30 +326,31 @@
 
 void ServerLinks::received(Link& link, const ServerMessage& message) {
     const SessionId id = message.session;
+    const ServerNumber speaker = link.speaker();
     const auto it = entries_.find(id);
-    Entry* entry = it != entries_.end() && it->second.attempt.server == link.server ? &it->second : nullptr;
+    Entry* entry = it != entries_.end() && it->second.attempt.server == speaker ? &it->second : nullptr;
     switch (message.verb) {
         case ServerVerb::Started:
             if (entry == nullptr) {
-                events_.answered_late(id, link.server);
+                events_.answered_late(id, speaker);
                 // It crossed our giving up: what now stands there is released, not passed on.
-                connections_.release(link.server, &link, word(ServerVerb::Finish, id, cause_ok));
+                connections_.release(speaker, &link, word(ServerVerb::Finish, id, cause_ok));
             } else if (entry->state == State::Written) {
                 set_state(id, *entry, State::Standing);
                 events_.started(id, message.description.value_or(""));
             }
             break;
         case ServerVerb::Finished:
-            connections_.release_acknowledged(link.server, id);
+            connections_.release_acknowledged(speaker, id);
             break;
         case ServerVerb::Finish: {
-            connections_.release_acknowledged(link.server, id);
+            connections_.release_acknowledged(speaker, id);
             link.connection.send(encode(word(ServerVerb::Finished, id)));
             // What a server says of a session's earlier stay there, before it was handed on, is old.
             const std::uint64_t epoch = whole(message.field("epoch"));
             if (entry != nullptr && (epoch == 0 || epoch >= entry->home_epoch)) finished(message);
             if (entry == nullptr && epoch > 0)
-                events_.ended_at(id, link.server, epoch, ending_of_session(message));
+                events_.ended_at(id, speaker, epoch, ending_of_session(message));
             break;
         }
         case ServerVerb::Unknown:
--- a/src/agent/session_table.cpp
+++ b/src/agent/session_table.cpp
@@ -305,6 +305,7 @@
         requests_.attempt_ended(id, session->attempts - 1, session->server, how);
     }
     session->may_have_run = session->may_have_run || !proves_unrun(how);
+    if (!proves_unrun(how) && how != Ending::AppError) session->unsettled.push_back(session->server);
     cinderfront::Outcome outcome{id,  session->attempts - 1,          session->server,
                                  how, loop_.now() - session->sent_at, session->phase == Phase::Answered,
                                  load};
@@ -348,7 +349,7 @@
     const KnownServer* server = directory_.find(action.server);
     const bool over_limit = settings_.try_limit > 0 && attempt >= settings_.try_limit;
     if (session->phase == Phase::Answered || session->out || over_limit || now >= not_after ||
-        server == nullptr || !server->may_take_new()) {
+        server == nullptr || !server->may_take_new() || may_live_at_address(*session, action.server)) {
         return unused();
     }
     session->out = true;
@@ -373,6 +374,14 @@
     servers_->set_up(sent);
 }
 
+// Guards against a second attempt at a process that may hold the first one: the module knows servers by
+// their numbers, and this one may have been reached under the number of the one that had its address before.
+bool SessionTable::may_live_at_address(const Session& session, ServerNumber server) const {
+    return std::any_of(session.unsettled.begin(), session.unsettled.end(), [&](ServerNumber earlier) {
+        return earlier != server && directory_.holder_of_address(earlier) == server;
+    });
+}
+
 void SessionTable::act(const cinderfront::SetRung& action) {
     Session* session = find(action.id);
     if (session == nullptr || session->rung == action.rung) return;
--- a/src/agent/session_table.h
+++ b/src/agent/session_table.h
@@ -77,6 +77,7 @@
         int rung = 0;
         double sent_at = 0;
         bool may_have_run = false;
+        std::vector<ServerNumber> unsettled;  // where an attempt may have run that no server has settled
         net::Deadlines::Key cap{0, 0}, net{0, 0};
     };
 
@@ -114,6 +115,7 @@
     void drop_if_done(SessionId id);
     Flow& flow_of(const Session& session);
     void drop_deadline(net::Deadlines::Key& key);
+    bool may_live_at_address(const Session& session, ServerNumber server) const;
 
     net::Loop& loop_;
     Log& log_;
--- a/tests/unit/retransmit_queue_test.cpp
+++ b/tests/unit/retransmit_queue_test.cpp
@@ -103,3 +103,19 @@
         REQUIRE_EQ(queue.size(), all.size());
     }
 }
+
+// Guards against releases that are lost, or kept too long, where a server takes over from another one.
+TEST_CASE("messages of another queue are due at once, and given up when they would have been there") {
+    RetransmitQueue queue(times), other(times);
+    other.add(7, "theirs", 100);
+    other.add(8, "theirs", 103);
+    other.send(8, 3, 103);
+    queue.add(7, "ours", 104);
+    queue.take_all(std::move(other), 104);
+    CHECK_EQ(queue.due(104), Ids{7, 8});
+    CHECK_EQ(queue.send(7, 1, 104), "ours");
+    CHECK_EQ(queue.sent_on(8), 0U);
+    queue.drop_expired(111);
+    CHECK_EQ(queue.size(), 1U);
+    CHECK(queue.acknowledge(7));
+}
