Bound sessions by memory, and those handed over by what a server can run

Cause: SessionTable took each such session for one that stands, without a bound in all or for its server, and kept its description; nothing bounded sessions by memory_mb at all.

Change: SessionBounds. Sessions take at most 0.4 of limits.memory_mb with their texts; of those handed over, a server is believed to have twice what its kind runs at most. Beyond that a set-up is refused, and a session handed over is over for its viewer, as it is at an unknown server (before: a line of the log, and silence). Descriptions go once a session stands.

Why it works: no message can add to what is held once the memory's part is in use.

--- a/lab/broken/broken.h
+++ b/lab/broken/broken.h
@@ -89,6 +89,9 @@
 
     void set_up(const jasperspread::agent::SetUp& set_up) override;
     void given_up(SessionId id) override;
+    bool may_take_over(const jasperspread::agent::SetUp& set_up) override {
+        return from_viewers_->may_take_over(set_up);
+    }
 
     void started(SessionId id, const std::string& description) override;
     void attempt_ended(SessionId id, Ending how, const Load& load) override;
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -57,7 +57,7 @@
       log_(log),
       between_(between != nullptr ? *between : nothing_between_),
       config_(begun(loop, between_, std::move(config))),
-      sessions_(loop, log, config_.profile.settings, config_.seed, config_.directory),
+      sessions_(loop, log, config_.profile.settings, config_.seed, config_.directory, config_.memory),
       journal_(memory == nullptr
                    ? nullptr
                    : std::make_unique<SessionJournal>(loop, log, *memory, config_.profile, config_.directory,
--- a/src/agent/config.cpp
+++ b/src/agent/config.cpp
@@ -45,6 +45,7 @@
 
 Config read_config(std::string_view text) {
     constexpr std::size_t usual_descriptors = 1024, fewest_descriptors = 32;
+    constexpr std::size_t usual_memory_mb = 192, megabyte = 1'000'000;
     const Json json = Json::parse(text, nullptr, false);
     if (!json.is_object()) throw SettingsError("expected the configuration to be one JSON object");
     Config config;
@@ -59,6 +60,7 @@
     if (config.descriptors < fewest_descriptors) {
         bad("limits.sockets (32 or more)", std::to_string(config.descriptors));
     }
+    config.memory = limit_at(json, "memory_mb", usual_memory_mb) * megabyte;
     const Json& settings = member(json, "settings", "settings");
     if (!settings.is_object()) bad("settings (an object)", settings.dump());
     config.profile = read_profile(pairs_from_json(settings));
--- a/src/agent/config.h
+++ b/src/agent/config.h
@@ -16,6 +16,7 @@
     net::Address listen, feed;
     std::uint64_t seed = 0;
     std::size_t descriptors = 0;
+    std::size_t memory = 0;  // bytes
     Profile profile;
     std::uint64_t known_number = 0;  // of the last event under `known`
     ServerDirectory directory;       // as those events leave it
--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -337,6 +337,7 @@
                 connections_.release(speaker, &link, word(ServerVerb::Finish, id, cause_ok));
             } else if (entry->state == State::Written) {
                 set_state(id, *entry, State::Standing);
+                entry->attempt.description = {};  // only a set-up has one
                 events_.started(id, message.description.value_or(""));
             }
             break;
--- a/src/agent/session_table.cpp
+++ b/src/agent/session_table.cpp
@@ -15,6 +15,10 @@
 // The module ends a set-up some 20 ms before the viewer's time is up; the net takes what it has missed.
 constexpr double net_margin_s = 0.005;
 
+std::size_t text_bytes(const SetUp& set_up) {
+    return set_up.class_name.size() + set_up.title.size() + set_up.description.size();
+}
+
 bool proves_unrun(Ending how) {
     return how == Ending::Shed || how == Ending::DialFailed || how == Ending::Unused;
 }
@@ -22,13 +26,14 @@
 }  // namespace
 
 SessionTable::SessionTable(net::Loop& loop, Log& log, const cinderfront::Settings& settings,
-                           std::uint64_t seed, const ServerDirectory& directory)
+                           std::uint64_t seed, const ServerDirectory& directory, std::size_t memory)
     : loop_(loop),
       log_(log),
       requests_(log),
       settings_(settings),
       directory_(directory),
-      module_(settings, seed) {}
+      module_(settings, seed),
+      bounds_(memory) {}
 
 void SessionTable::connect(ViewerPort& viewers, ServerPort& servers) {
     viewers_ = &viewers;
@@ -85,26 +90,11 @@
 void SessionTable::set_up(const SetUp& set_up) {
     const SessionId id = set_up.request.id;
     if (sessions_.contains(id)) return;  // handed over again, or sent again: it is held already
-    if (set_up.playing_at) {
-        const auto server = directory_.number_of(*set_up.playing_at);
-        if (!server) return log_.warn("handed_over_at_unknown_server", {{"session", codec::to_hex(id)}});
-        Session& session = sessions_[id];
-        session.asked = set_up;
-        session.phase = Phase::Standing;
-        ++standing_;
-        session.out = true;
-        session.attempts = 1;
-        session.server = *server;
-        if (log_.wants(Level::Debug))
-            log_.debug("session_taken_over",
-                       {{"session", codec::to_hex(id)}, {"server", std::to_string(*server)}});
-        tell(cinderfront::TakenOver{set_up.request, *server});
-        servers_->adopt(id, *server);
-        return;
-    }
-    if (takes_no_more_) return viewers_->refused(id, 0);
-    Session& session = sessions_[id];
-    session.asked = set_up;
+    if (set_up.playing_at) return take_over(set_up);
+    const bool has_room = bounds_.has_room(text_bytes(set_up));
+    if (!has_room) log_.warn("no_room_for_set_up", {{"session", codec::to_hex(id)}});
+    if (takes_no_more_ || !has_room) return viewers_->refused(id, 0);
+    Session& session = add(id, set_up);
     ++unanswered_;
     ++flow_of(session).asked;
     requests_.taken(set_up);
@@ -113,6 +103,51 @@
     tell(cinderfront::NewRequest{set_up.request});
 }
 
+SessionTable::Session& SessionTable::add(SessionId id, const SetUp& set_up) {
+    Session& session = sessions_[id];
+    session.asked = set_up;
+    bounds_.add(text_bytes(set_up));
+    return session;
+}
+
+// Any client may say of any id that it plays somewhere: more than a server can run, or than there is room
+// for, are not believed.
+bool SessionTable::may_take_over(const SetUp& set_up) {
+    const auto server = directory_.number_of(*set_up.playing_at);
+    if (!server) return false;
+    if (sessions_.contains(set_up.request.id)) return true;
+    return bounds_.has_room(0) && bounds_.has_room_at(*server, runs_at_most(*server));
+}
+
+// A session of an earlier incarnation.
+void SessionTable::take_over(const SetUp& set_up) {
+    const SessionId id = set_up.request.id;
+    const auto server = directory_.number_of(*set_up.playing_at);
+    if (!may_take_over(set_up)) return;
+    SetUp asked = set_up;
+    asked.description.clear();  // only its server needs it, and has it
+    Session& session = add(id, asked);
+    session.phase = Phase::Standing;
+    ++standing_;
+    session.out = true;
+    session.attempts = 1;
+    session.server = *server;
+    session.handed_over_at = *server;
+    bounds_.add_at(*server);
+    if (log_.wants(Level::Debug))
+        log_.debug("session_taken_over",
+                   {{"session", codec::to_hex(id)}, {"server", std::to_string(*server)}});
+    tell(cinderfront::TakenOver{asked.request, *server});
+    servers_->adopt(id, *server);
+}
+
+// 0: not known.
+double SessionTable::runs_at_most(ServerNumber server) const {
+    const KnownServer* known = directory_.find(server);
+    const auto& runs = settings_.places_by_kind;
+    return known != nullptr && known->entry.kind < runs.size() ? runs[known->entry.kind] : 0;
+}
+
 void SessionTable::given_up(SessionId id) {
     Session* session = find(id);
     if (session == nullptr || session->phase == Phase::Answered) return;
@@ -330,7 +365,10 @@
 void SessionTable::drop_if_done(SessionId id) {
     const auto it = sessions_.find(id);
     if (it == sessions_.end() || it->second.phase != Phase::Answered || it->second.out) return;
+    const Session& session = it->second;
     drop_deadline(it->second.cap);
+    if (session.handed_over_at) bounds_.remove_at(*session.handed_over_at);
+    bounds_.remove(text_bytes(session.asked));
     sessions_.erase(it);
 }
 
--- a/src/agent/session_table.h
+++ b/src/agent/session_table.h
@@ -17,6 +17,7 @@
 #include "agent/log.h"
 #include "agent/request_log.h"
 #include "agent/seam.h"
+#include "agent/session_bounds.h"
 #include "net/loop.h"
 
 namespace jasperspread::agent {
@@ -24,7 +25,7 @@
 class SessionTable : public ViewerEvents, public ServerEvents, private MovableSessions {
 public:
     SessionTable(net::Loop& loop, Log& log, const cinderfront::Settings& settings, std::uint64_t seed,
-                 const ServerDirectory& directory);
+                 const ServerDirectory& directory, std::size_t memory);
     // Both sides must be there before the first event.
     void connect(ViewerPort& viewers, ServerPort& servers);
 
@@ -32,6 +33,7 @@
 
     void set_up(const SetUp& set_up) override;
     void given_up(SessionId id) override;
+    bool may_take_over(const SetUp& set_up) override;
 
     void started(SessionId id, const std::string& description) override;
     void answered_late(SessionId id, ServerNumber server) override { requests_.late_answer(id, server); }
@@ -77,6 +79,7 @@
         int rung = 0;
         double sent_at = 0;
         bool may_have_run = false;
+        std::optional<ServerNumber> handed_over_at;
         std::vector<ServerNumber> unsettled;  // where an attempt may have run that no server has settled
         net::Deadlines::Key cap{0, 0}, net{0, 0};
     };
@@ -105,6 +108,9 @@
     Movable movable_of(SessionId id, const Session& session) const;
 
     Session* find(SessionId id);
+    Session& add(SessionId id, const SetUp& set_up);
+    void take_over(const SetUp& set_up);
+    double runs_at_most(ServerNumber server) const;
     void set_phase(Session& session, Phase phase);
     void end_attempt(SessionId id, cinderfront::Ending how, const cinderfront::LoadReport& load);
     void withdraw(SessionId id, Session& session, cinderfront::Ending how);
@@ -126,6 +132,7 @@
     ViewerPort* viewers_ = nullptr;
     ServerPort* servers_ = nullptr;
     std::unordered_map<SessionId, Session> sessions_;
+    SessionBounds bounds_;
     std::size_t unanswered_ = 0, standing_ = 0;
     std::array<Flow, 2> flows_;  // of other classes, of paid ones
     std::deque<cinderfront::Event> events_;
--- a/src/agent/viewer_side.cpp
+++ b/src/agent/viewer_side.cpp
@@ -259,7 +259,7 @@
     // What plays already wants no answer, and belongs to no connection.
     if (!wanted && !set_up.playing_at) return;
     const bool fresh = remember(id);
-    if (set_up.playing_at) return events_.set_up(set_up);
+    if (set_up.playing_at) return take_handed_over(peer, set_up);
     // Guards against a set-up under the number of another one that is open or stands: its answer must go
     // where it was asked for, not to whoever uses its number.
     if (asked_on_.contains(id)) codec::malformed("two set-ups under one number");
@@ -272,6 +272,13 @@
     events_.set_up(set_up);
 }
 
+// A session that there is no room for, or at a server that has gone for long, is over for its viewer.
+void ViewerSide::take_handed_over(Peer& peer, const SetUp& set_up) {
+    if (events_.may_take_over(set_up)) return events_.set_up(set_up);
+    note("session_not_taken_over", set_up.request.id, "its server is not known, or there is no room");
+    peer.connection.send(encode(word(ViewerType::Release, set_up.request.id, cause_broken)));
+}
+
 // False when it was there already.
 bool ViewerSide::remember(SessionId id) {
     if (!seen_.insert(id).second) return false;
--- a/src/agent/viewer_side.h
+++ b/src/agent/viewer_side.h
@@ -53,6 +53,7 @@
     void note(std::string_view event, SessionId id, const char* why);
     void take(Peer& peer, const codec::ViewerMessage& message, std::string_view behind);
     void take_set_up(Peer& peer, const codec::ViewerMessage& message, bool wanted);
+    void take_handed_over(Peer& peer, const SetUp& set_up);
     void turn_away(Peer& peer, SessionId id, std::uint8_t cause, const char* why);
     bool remember(SessionId id);
     void peer_ended(Peer& peer);
--- a/tests/scenarios/scenario.cpp
+++ b/tests/scenarios/scenario.cpp
@@ -452,6 +452,8 @@
         json["feed"] = net::to_text(feed_.address);
         json["known"] = {{"n", 1}, {"events", nlohmann::json::array({members(1, true, {})})}};
         for (const auto& [key, value] : keys) {
+            if (key == "memory") json["limits"]["memory_mb"] = std::stod(value);
+            if (key == "runs") json["settings"]["family_info"]["places_by_kind"][0] = std::stod(value);
             if (key == "sockets") json["limits"]["sockets"] = std::stod(value);
             if (key == "idle") json["settings"]["limits"]["conn_idle"] = std::stod(value);
             if (key == "connect") json["settings"]["limits"]["connect_timeout"] = std::stod(value);
--- /dev/null
+++ b/tests/unit/session_bounds_test.cpp
@@ -0,0 +1,33 @@
+// The books on what is held: session bounds.
+#include <doctest/doctest.h>
+
+#include "agent/session_bounds.h"
+
+using jasperspread::agent::SessionBounds;
+
+TEST_CASE("sessions have room up to a part of the memory, and large ones take more of it") {
+    constexpr std::size_t memory = 1'000'000, large = 16'000;
+    SessionBounds bounds(memory);
+    std::size_t small_ones = 0, large_ones = 0;
+    for (; bounds.has_room(0); ++small_ones) bounds.add(0);
+    for (std::size_t i = 0; i < small_ones; ++i) bounds.remove(0);
+    for (; bounds.has_room(large); ++large_ones) bounds.add(large);
+    CHECK_LT(small_ones, memory / 1000);
+    CHECK_GT(small_ones, memory / 5000);
+    CHECK_LT(large_ones * large, memory / 2);
+    bounds.remove(large);
+    CHECK(bounds.has_room(large));
+}
+
+TEST_CASE("sessions handed over are counted for each server") {
+    SessionBounds bounds(1'000'000);
+    for (int i = 0; i < 6; ++i) {
+        CHECK(bounds.has_room_at(1, 3));
+        bounds.add_at(1);
+    }
+    CHECK_FALSE(bounds.has_room_at(1, 3));
+    CHECK(bounds.has_room_at(2, 3));
+    CHECK(bounds.has_room_at(1, 0));  // not known what it runs
+    bounds.remove_at(1);
+    CHECK(bounds.has_room_at(1, 3));
+}
