Remember ids that may have run by time, not by the number of others

Cause: ViewerSide remembered the last 4,096 ids, whatever had become of them.

Change: RecentIds remembers each id that may have run for 30 to 60 s. It is bounded by the memory (one id for 1,000 bytes); where that is reached set-ups are refused, and nothing is forgotten early.

Why it works: what is forgotten depends on no other client any more.

--- a/lab/broken/broken.h
+++ b/lab/broken/broken.h
@@ -89,6 +89,7 @@
 
     void set_up(const jasperspread::agent::SetUp& set_up) override;
     void given_up(SessionId id) override;
+    bool may_have_run(SessionId id) override { return from_viewers_->may_have_run(id); }
     bool may_take_over(const jasperspread::agent::SetUp& set_up) override {
         return from_viewers_->may_take_over(set_up);
     }
--- a/src/agent/session_table.cpp
+++ b/src/agent/session_table.cpp
@@ -15,6 +15,11 @@
 // The module ends a set-up some 20 ms before the viewer's time is up; the net takes what it has missed.
 constexpr double net_margin_s = 0.005;
 
+// Ids never come twice. Clients that break this rule come again within moments.
+constexpr double remembered_s = 30;
+// At most a twentieth of the memory goes to ids that are remembered: one for so many bytes of it.
+constexpr std::size_t memory_for_each_id = 1000;
+
 std::size_t text_bytes(const SetUp& set_up) {
     return set_up.class_name.size() + set_up.title.size() + set_up.description.size();
 }
@@ -33,7 +38,8 @@
       settings_(settings),
       directory_(directory),
       module_(settings, seed),
-      bounds_(memory) {}
+      bounds_(memory),
+      recent_(remembered_s, memory / memory_for_each_id) {}
 
 void SessionTable::connect(ViewerPort& viewers, ServerPort& servers) {
     viewers_ = &viewers;
@@ -91,7 +97,7 @@
     const SessionId id = set_up.request.id;
     if (sessions_.contains(id)) return;  // handed over again, or sent again: it is held already
     if (set_up.playing_at) return take_over(set_up);
-    const bool has_room = bounds_.has_room(text_bytes(set_up));
+    const bool has_room = bounds_.has_room(text_bytes(set_up)) && recent_.has_room(loop_.now());
     if (!has_room) log_.warn("no_room_for_set_up", {{"session", codec::to_hex(id)}});
     if (takes_no_more_ || !has_room) return viewers_->refused(id, 0);
     Session& session = add(id, set_up);
@@ -148,6 +154,10 @@
     return known != nullptr && known->entry.kind < runs.size() ? runs[known->entry.kind] : 0;
 }
 
+bool SessionTable::may_have_run(SessionId id) {
+    return sessions_.contains(id) || recent_.contains(id, loop_.now());
+}
+
 void SessionTable::given_up(SessionId id) {
     Session* session = find(id);
     if (session == nullptr || session->phase == Phase::Answered) return;
@@ -367,6 +377,7 @@
     if (it == sessions_.end() || it->second.phase != Phase::Answered || it->second.out) return;
     const Session& session = it->second;
     drop_deadline(it->second.cap);
+    if (session.may_have_run) recent_.add(id, loop_.now());
     if (session.handed_over_at) bounds_.remove_at(*session.handed_over_at);
     bounds_.remove(text_bytes(session.asked));
     sessions_.erase(it);
--- a/src/agent/session_table.h
+++ b/src/agent/session_table.h
@@ -15,6 +15,7 @@
 
 #include "agent/handover_coordinator.h"
 #include "agent/log.h"
+#include "agent/recent_ids.h"
 #include "agent/request_log.h"
 #include "agent/seam.h"
 #include "agent/session_bounds.h"
@@ -33,6 +34,7 @@
 
     void set_up(const SetUp& set_up) override;
     void given_up(SessionId id) override;
+    bool may_have_run(SessionId id) override;
     bool may_take_over(const SetUp& set_up) override;
 
     void started(SessionId id, const std::string& description) override;
@@ -133,6 +135,7 @@
     ServerPort* servers_ = nullptr;
     std::unordered_map<SessionId, Session> sessions_;
     SessionBounds bounds_;
+    RecentIds recent_;  // of set-ups that are over
     std::size_t unanswered_ = 0, standing_ = 0;
     std::array<Flow, 2> flows_;  // of other classes, of paid ones
     std::deque<cinderfront::Event> events_;
--- a/src/agent/viewer_side.cpp
+++ b/src/agent/viewer_side.cpp
@@ -258,7 +258,7 @@
     }
     // What plays already wants no answer, and belongs to no connection.
     if (!wanted && !set_up.playing_at) return;
-    const bool fresh = remember(id);
+    const bool fresh = remember(id) && !events_.may_have_run(id);
     if (set_up.playing_at) return take_handed_over(peer, set_up);
     // Guards against a set-up under the number of another one that is open or stands: its answer must go
     // where it was asked for, not to whoever uses its number.
--- a/tests/net/viewer_side_test.cpp
+++ b/tests/net/viewer_side_test.cpp
@@ -31,6 +31,7 @@
 public:
     void set_up(const agent::SetUp& set_up) override { set_ups.push_back(set_up.request.id); }
     void given_up(agent::SessionId id) override { given.push_back(id); }
+    bool may_have_run(agent::SessionId) override { return false; }
     bool may_take_over(const agent::SetUp&) override { return true; }
     std::vector<agent::SessionId> set_ups, given;
 };
--- a/tests/scenarios/session_bounds_test.cpp
+++ b/tests/scenarios/session_bounds_test.cpp
@@ -66,3 +66,18 @@
     )"),
              "");
 }
+
+// Guards against running a set-up twice: its id was remembered until a number of others had come.
+TEST_CASE("an id that has run comes again after thousands of others: it is not sent again") {
+    std::string others;
+    for (int id = 10'000; id < 15'000; ++id)
+        others += "v2 send setup " + std::to_string(id) + " home=7 copies=1\n";  // nobody holds this title
+    CHECK_EQ(play("agent send start\nv1 send setup 5\ns1 expect START 5\nv1 close\ns1 expect FINISH 5\n" +
+                  others + R"(
+        wait 1                                 # until they are read
+        v3 send setup 5
+        v3 expect release 5 cause=41
+        s1 expect nothing 0.3
+    )"),
+             "");
+}
--- a/tests/unit/session_bounds_test.cpp
+++ b/tests/unit/session_bounds_test.cpp
@@ -1,8 +1,10 @@
-// The books on what is held: session bounds.
+// The books on what is held and remembered: session bounds and recent ids.
 #include <doctest/doctest.h>
 
+#include "agent/recent_ids.h"
 #include "agent/session_bounds.h"
 
+using jasperspread::agent::RecentIds;
 using jasperspread::agent::SessionBounds;
 
 TEST_CASE("sessions have room up to a part of the memory, and large ones take more of it") {
@@ -31,3 +33,17 @@
     bounds.remove_at(1);
     CHECK(bounds.has_room_at(1, 3));
 }
+
+TEST_CASE("ids are remembered for a time, however many others come, and not for ever") {
+    constexpr double kept_s = 30, start = 1e9;
+    RecentIds ids(kept_s, 1000);
+    CHECK_FALSE(ids.contains(7, start));
+    ids.add(7, start + 29);
+    for (RecentIds::Id other = 100; other < 5000; ++other) ids.add(other, start + 29);
+    CHECK_FALSE(ids.has_room(start + 29));
+    CHECK(ids.contains(7, start + 29 + kept_s));
+    CHECK_FALSE(ids.contains(7, start + 29 + 2 * kept_s));
+    CHECK(ids.has_room(start + 29 + 2 * kept_s));
+    ids.add(8, start + 200);
+    CHECK_FALSE(ids.contains(8, start + 1000));
+}
