Keep a silent call of the control feed open beside the next one

Seen by callers: a new control feed answered each call after 3 s.

Cause: FeedClient hung up 2.5 s after a connection came up, the pause allowed between two comments, so that no call to a crowded feed lived to its answer.

Change: after 2.5 s without a word the feed is called once more, and the silent call stays; the first that speaks is the feed. A call is given up after 7.5 s of silence: three at most.

The new case in program_test.cpp fails on (the call was hung up) and passes; the other 7 cases on feeds pass.

Why it works: an answer is waited for as long as it can still be in time, and no feed that is dead on an open connection is called later than before.

--- a/src/agent/feed_client.cpp
+++ b/src/agent/feed_client.cpp
@@ -2,14 +2,18 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "codec/message.h"
 
 namespace jasperspread::agent {
 namespace {
 
-// A comment comes each second: so long without a word and the feed is taken for dead, s.
+// A comment comes each second: after so long without a word, s, the feed is called once more.
 constexpr double silent_s = 2.5;
+// So many calls are open at a time, and one that is silent for longer than the others may be is given up.
+constexpr std::size_t most_calls = 3;
+constexpr double given_up_s = silent_s * most_calls;
 // A connection that held for less counts as another failure: the pauses go on growing, s.
 constexpr double held_s = 2.0;
 constexpr double connect_timeout_s = 0.5, first_pause_s = 0.05, longest_pause_s = 1.0;
@@ -17,6 +21,46 @@
 
 }  // namespace
 
+// One call of the feed.
+class FeedClient::Call final : public net::Connection::Owner {
+public:
+    explicit Call(FeedClient& client)
+        : client_(client),
+          given_up_(client.loop_),
+          connection(client.loop_, client.pool_, *this, client.feed_, connect_timeout_s, net::Order::Early) {}
+
+    void opened(net::Connection&) override {
+        opened_at = client_.loop_.now();
+        wait_for_words();
+        client_.opened(*this);
+    }
+    std::size_t received(net::Connection&, std::string_view bytes) override {
+        wait_for_words();
+        return client_.received(*this, bytes);
+    }
+    void ended(net::Connection&, net::Connection::End) override {
+        client_.end(*this, "the connection has ended");
+    }
+    void close() {
+        given_up_.cancel();
+        connection.close();
+    }
+
+    double opened_at = 0;  // 0: it was not yet
+    codec::FeedParser parser;
+
+private:
+    void wait_for_words() {
+        given_up_.set(client_.loop_.now() + given_up_s, [this] { client_.end(*this, "it is silent"); });
+    }
+
+    FeedClient& client_;
+    net::Timer given_up_;
+
+public:
+    net::Connection connection;  // last: it may not call back before the rest is there
+};
+
 FeedClient::FeedClient(net::Loop& loop, net::BufferPool& pool, Log& log, const Start& start,
                        const Profile& profile, Told told)
     : loop_(loop),
@@ -31,43 +75,52 @@
       again_(loop),
       random_(loop.kernel().random()),
       pause_(first_pause_s) {
-    connect();
+    call();
 }
 
+FeedClient::~FeedClient() = default;
+
 // The old feed tells nothing more: nothing is waited for there, not even a pause that has begun.
 void FeedClient::move_to(const net::Address& feed) {
     log_.info("feed_moves", {{"to", net::to_text(feed)}, {"after", std::to_string(last_)}});
-    hang_up();
+    close_all_but(nullptr);
+    silence_.cancel();
     again_.cancel();
     feed_ = feed;
     pause_ = first_pause_s;
-    connect();
+    call();
 }
 
-void FeedClient::connect() {
-    connected_ = 0;
-    parser_.emplace();
-    connection_ =
-        std::make_shared<net::Connection>(loop_, pool_, *this, feed_, connect_timeout_s, net::Order::Early);
+void FeedClient::call() {
+    if (calls_.size() >= most_calls) end(*calls_.front(), "it is silent");
+    again_.cancel();
+    calls_.push_back(std::make_shared<Call>(*this));
 }
 
-void FeedClient::wait_for_words() {
-    silence_.set(loop_.now() + silent_s, [this] { lost("it is silent"); });
+void FeedClient::watch_for_silence() {
+    silence_.set(loop_.now() + silent_s, [this] {
+        log_.warn("feed_silent",
+                  {{"calls", std::to_string(calls_.size())}, {"after", std::to_string(last_)}});
+        pause_ = first_pause_s;
+        call_again();
+    });
 }
 
-void FeedClient::opened(net::Connection& connection) {
-    connected_ = loop_.now();
-    connection.send(codec::feed_request(net::to_text(feed_), std::to_string(last_)));
-    wait_for_words();
+void FeedClient::opened(Call& call) {
+    call.connection.send(codec::feed_request(net::to_text(feed_), std::to_string(last_)));
+    watch_for_silence();
 }
 
-std::size_t FeedClient::received(net::Connection&, std::string_view bytes) {
-    wait_for_words();
+// Whichever call is answered first is the feed from then on.
+std::size_t FeedClient::received(Call& call, std::string_view bytes) {
+    close_all_but(&call);
+    again_.cancel();
+    watch_for_silence();
     try {
-        for (const auto& event : parser_->take(bytes)) take(event);
-        if (parser_->complete()) lost("the response has ended");
+        for (const auto& event : call.parser.take(bytes)) take(event);
+        if (call.parser.complete()) end(call, "the response has ended");
     } catch (const std::runtime_error& error) {  // unreadable: asked again from the last event that was read
-        lost(error.what());
+        end(call, error.what());
     }
     return bytes.size();
 }
@@ -96,24 +149,38 @@
     told_(change);
 }
 
-void FeedClient::ended(net::Connection&, net::Connection::End) {
-    lost("the connection has ended");
+void FeedClient::close_all_but(const Call* call) {
+    for (auto& one : std::exchange(calls_, {})) {
+        if (one.get() == call) {
+            calls_.push_back(std::move(one));
+            continue;
+        }
+        one->close();
+        loop_.retire(std::move(one));
+    }
 }
 
-void FeedClient::hang_up() {
+// A call is over. The feed is called again unless another call is still waiting for its answer.
+void FeedClient::end(Call& call, const std::string& why) {
+    const auto self =
+        std::find_if(calls_.begin(), calls_.end(), [&](const auto& one) { return one.get() == &call; });
+    if (self == calls_.end()) return;  // it was closed from here
+    log_.warn("feed_lost", {{"why", why}, {"after", std::to_string(last_)}});
+    if (call.opened_at > 0 && loop_.now() > call.opened_at + held_s) pause_ = first_pause_s;
+    call.close();
+    loop_.retire(std::move(*self));
+    calls_.erase(self);
+    const bool others_wait =
+        std::any_of(calls_.begin(), calls_.end(), [](const auto& one) { return one->connection.is_open(); });
+    if (others_wait && silence_.is_set()) return;
     silence_.cancel();
-    if (!connection_) return;  // between two attempts
-    connection_->close();
-    loop_.retire(std::move(connection_));
+    call_again();
 }
 
-void FeedClient::lost(const std::string& why) {
-    log_.warn("feed_lost", {{"why", why}, {"after", std::to_string(last_)}});
-    hang_up();
-    if (connected_ > 0 && loop_.now() > connected_ + held_s) pause_ = first_pause_s;
-    // All agents lose the feed at one moment: none may come back in step with the others.
+// All agents lose the feed at one moment: none may come back in step with the others.
+void FeedClient::call_again() {
     std::uniform_real_distribution<double> part(least_part, 1);
-    again_.set(loop_.now() + pause_ * part(random_), [this] { connect(); });
+    again_.set(loop_.now() + pause_ * part(random_), [this] { this->call(); });
     pause_ = std::min(pause_ * 2, longest_pause_s);
 }
 
--- a/src/agent/feed_client.h
+++ b/src/agent/feed_client.h
@@ -1,5 +1,5 @@
-// Follows the control feed: resumes after the last event told, and connects again when the feed breaks off or
-// falls silent.
+// Follows the control feed: resumes after the last event told, and calls again when the feed breaks off or
+// falls silent. A call that is silent stays for a while beside the next one: a crowded feed answers late.
 #pragma once
 
 #include <cstdint>
@@ -7,6 +7,8 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <string>
+#include <vector>
 
 #include "agent/directory.h"
 #include "agent/log.h"
@@ -17,7 +19,7 @@
 
 namespace jasperspread::agent {
 
-class FeedClient : public net::Connection::Owner {
+class FeedClient {
 public:
     using Told = std::function<void(const ListChange&)>;
     struct Start {
@@ -27,20 +29,21 @@
     };
     FeedClient(net::Loop& loop, net::BufferPool& pool, Log& log, const Start& start, const Profile& profile,
                Told told);
+    ~FeedClient();
 
     // The feed is to be had elsewhere from now on. The numbers of its events continue.
     void move_to(const net::Address& feed);
 
-    void opened(net::Connection&) override;
-    std::size_t received(net::Connection&, std::string_view bytes) override;
-    void ended(net::Connection&, net::Connection::End why) override;
-
 private:
-    void connect();
-    void lost(const std::string& why);
-    void hang_up();
+    class Call;
+    void call();
+    void opened(Call& call);
+    std::size_t received(Call& call, std::string_view bytes);
+    void end(Call& call, const std::string& why);
+    void call_again();
     void take(const codec::FeedEvent& event);
-    void wait_for_words();
+    void close_all_but(const Call* call);
+    void watch_for_silence();
 
     net::Loop& loop_;
     net::BufferPool& pool_;
@@ -49,11 +52,10 @@
     const Profile& profile_;
     std::uint64_t last_, revision_;
     Told told_;
-    std::optional<codec::FeedParser> parser_;
-    std::shared_ptr<net::Connection> connection_;
+    std::vector<std::shared_ptr<Call>> calls_;  // that are connecting or open, the oldest first
     net::Timer silence_, again_;
     std::mt19937_64 random_;
-    double pause_, connected_ = 0;
+    double pause_;
 };
 
 }  // namespace jasperspread::agent
--- a/tests/scenarios/program_test.cpp
+++ b/tests/scenarios/program_test.cpp
@@ -406,6 +406,26 @@
              "");
 }
 
+// Guards against hanging up on a crowded feed again and again, each time before its answer.
+TEST_CASE("a feed that answers each call late is heard, also after a move") {
+    CHECK_EQ(play(R"(
+        agent send start
+        wait 3.2                               # longer than a feed that talks is ever silent
+        feed expect after=1
+        feed send n=2 s1=draining
+        agent send reload
+        wait 3.2
+        feed2 expect after=2                   # the first call
+        feed2 send n=3 s2=draining
+        wait 0.2
+        v1 send setup 5 home=0 copies=1        # s1 alone
+        v1 expect release 5 cause=42
+        v1 send setup 6 home=1 copies=1        # s2 alone
+        v1 expect release 6 cause=42
+    )"),
+             "");
+}
+
 TEST_CASE("a message that can't be read ends its connection alone, its open set-ups failed") {
     CHECK_EQ(play(R"(
         agent send start
