Give each viewers' connection a part of a turn, and all buffers a part of the memory

Cause: a turn of the loop heard up to 64 KiB of each connection, some 5,000 messages, before any other had its turn; and output was bounded for each connection (256 KiB), never for all.

Change: 16 messages of a viewers' connection are heard at a time, what is left once the others had their turn, all of it where the peer has left. Where buffers take a quarter of memory_mb, a peer with a buffer's worth unread gets no further one and is closed.

Why it works: a turn is as long as 16 messages of each connection, however fast they send.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -14,6 +14,8 @@
 constexpr double longest_counted = 3.0, stay_over_deadline = 0.4;
 constexpr double look_every = 0.05, last_words = 0.2;
 constexpr std::size_t spare = 24;  // standard streams, listener, feed, signals, and some to breathe
+// Buffers that lie idle, and the part of the memory that buffers may take where some do without.
+constexpr std::size_t buffers_kept = 128, memory_over_buffers = 4;
 // Where the settings don't tell, s and sessions.
 constexpr double usual_connect_timeout = 0.25;
 constexpr std::size_t usual_streams = 32;
@@ -57,6 +59,7 @@
       log_(log),
       between_(between != nullptr ? *between : nothing_between_),
       config_(begun(loop, between_, std::move(config))),
+      pool_(buffers_kept, config_.memory / memory_over_buffers / net::buffer_size),
       sessions_(loop, log, config_.profile.settings, config_.seed, config_.directory, config_.memory),
       journal_(memory == nullptr
                    ? nullptr
--- a/src/agent/viewer_side.cpp
+++ b/src/agent/viewer_side.cpp
@@ -28,6 +28,8 @@
 constexpr double whole_within_s = 2.5;
 // Set-ups on one connection that nobody can serve, before it is taken for one that asks no more in earnest.
 constexpr int most_faults = 8;
+// Of one connection, so that those with much to say keep nobody waiting.
+constexpr int messages_a_turn = 16;
 constexpr std::size_t seen_most = 4096;  // set-ups whose ids are remembered
 
 ViewerMessage word(ViewerType type, SessionId id, std::optional<std::uint8_t> cause = std::nullopt) {
@@ -62,9 +64,13 @@
         used = side_.loop_.now();
         side_.rerank(*this);
         try {
-            while (connection.is_open()) {
+            for (int messages = 0; connection.is_open(); ++messages) {
                 const auto decoded = codec::decode_viewer(bytes.substr(taken));
                 if (!decoded) break;
+                if (messages >= messages_a_turn && !connection.peer_left()) {
+                    connection.resume_later();
+                    return taken;
+                }
                 taken += decoded->size;
                 if (!std::exchange(spoke, true)) side_.rerank(*this);
                 patience_.cancel();
--- a/src/net/buffer_pool.cpp
+++ b/src/net/buffer_pool.cpp
@@ -32,11 +32,13 @@
         idle_.pop_back();
     }
     buffer->begin = buffer->end = 0;
+    ++in_use_;
     return Lease(buffer.release(), Return{this});
 }
 
 void BufferPool::put(Buffer* buffer) {
     std::unique_ptr<Buffer> owned(buffer);
+    --in_use_;
     if (idle_.size() < kept_) idle_.push_back(std::move(owned));
 }
 
--- a/src/net/buffer_pool.h
+++ b/src/net/buffer_pool.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstddef>
+#include <limits>
 #include <memory>
 #include <string_view>
 #include <vector>
@@ -25,8 +26,10 @@
 
 class BufferPool {
 public:
-    // More than `kept` buffers that lie idle go back to the system.
-    explicit BufferPool(std::size_t kept = 128) : kept_(kept) {}
+    // More than `kept` buffers that lie idle go back to the system. `most`: so many may be in use before it
+    // is spent.
+    explicit BufferPool(std::size_t kept = 128, std::size_t most = std::numeric_limits<std::size_t>::max())
+        : kept_(kept), most_(most) {}
 
     struct Return {
         BufferPool* pool = nullptr;
@@ -36,10 +39,13 @@
 
     Lease lease();
     std::size_t idle() const { return idle_.size(); }
+    std::size_t in_use() const { return in_use_; }
+    // Whoever can do without a further buffer takes none.
+    bool is_spent() const { return in_use_ >= most_; }
 
 private:
     void put(Buffer* buffer);
-    std::size_t kept_;
+    std::size_t kept_, most_, in_use_ = 0;
     std::vector<std::unique_ptr<Buffer>> idle_;
 };
 
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -21,7 +21,13 @@
 }  // namespace
 
 Connection::Connection(Loop& loop, BufferPool& pool, Owner& owner, Fd accepted)
-    : loop_(loop), pool_(pool), owner_(owner), fd_(std::move(accepted)), timer_(loop), stall_(loop) {
+    : loop_(loop),
+      pool_(pool),
+      owner_(owner),
+      fd_(std::move(accepted)),
+      resume_(loop),
+      timer_(loop),
+      stall_(loop) {
     watch();
 }
 
@@ -33,6 +39,7 @@
       fd_(loop.kernel().open_stream(), &loop.kernel()),
       state_(State::Connecting),
       order_(order),
+      resume_(loop),
       timer_(loop),
       stall_(loop) {
     start_connect(to, connect_timeout);
@@ -71,7 +78,12 @@
 }
 
 bool Connection::has_unread() const {
-    return fd_ && loop_.kernel().unread(fd_.get()) > 0;
+    return is_left_ || (fd_ && loop_.kernel().unread(fd_.get()) > 0);
+}
+
+void Connection::resume_later() {
+    is_left_ = true;
+    resume_.set(loop_.now(), [this] { read(); });
 }
 
 // Takes in all that a buffer holds before the owner is given any of it: an end that came right behind must be
@@ -90,12 +102,14 @@
 }
 
 void Connection::read() {
+    bool was_left = std::exchange(is_left_, false);
+    resume_.cancel();
     for (int i = 0; i < reads_a_turn && state_ != State::Closed; ++i) {
         if (!in_) in_ = pool_.lease();
         in_->close_up();
         const std::size_t before = in_->end;
         const Input input = fill();
-        if (in_->end > before) {
+        if (in_->end > before || std::exchange(was_left, false)) {
             const std::size_t taken = owner_.received(*this, in_->held());
             if (state_ == State::Closed) return;
             in_->drop(taken);
@@ -106,7 +120,7 @@
         }
         // An owner takes or rejects all that fits a buffer; one that does neither would hang here.
         if (in_->begin == 0 && in_->room() == 0) return end(End::Overflow);
-        if (input == Input::Taken) break;
+        if (input == Input::Taken || is_left_) break;
     }
     if (in_ && in_->begin == in_->end) in_.reset();
 }
@@ -129,7 +143,8 @@
 void Connection::keep(std::string_view bytes) {
     while (!bytes.empty()) {
         if (out_.empty() || out_.back()->room() == 0) {
-            if (out_.size() >= most_kept) return end_soon(End::Overflow);
+            const bool is_spent = !out_.empty() && pool_.is_spent();
+            if (is_spent || out_.size() >= most_kept) return end_soon(End::Overflow);
             out_.push_back(pool_.lease());
         }
         const std::size_t part = std::min(bytes.size(), out_.back()->room());
@@ -204,6 +219,7 @@
     fd_.reset();
     state_ = State::Closed;
     timer_.cancel();
+    resume_.cancel();
     stall_.cancel();
     in_.reset();
     out_.clear();
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -43,10 +43,14 @@
 
     bool is_open() const { return state_ == State::Open; }
     Address peer() const { return loop_.kernel().peer_address(fd_.get()); }
-    bool has_unread() const;  // bytes have come that the owner was not given yet
+    bool has_unread() const;  // bytes have come that the owner was not given yet, or has left for later
+    // Inside received(): what the owner leaves is given to it again once the others had their turn. To be
+    // called only while the peer is there: bytes that are left behind its end are lost.
+    void resume_later();
     // The peer has closed or reset it, though what it sent before may still be on its way to the owner.
     bool peer_left() const { return peer_left_; }
-    // Sends, or keeps what the kernel does not take now; past the bound the connection ends with Overflow.
+    // Sends, or keeps what the kernel does not take now; past the bound, or where the pool's buffers are
+    // spent and it has one already, the connection ends with Overflow.
     void send(std::string_view bytes);
     // Sends only if the first byte can go out now; false: nothing was sent, writable() will tell.
     bool offer(std::string_view bytes);
@@ -81,6 +85,8 @@
     BufferPool::Lease in_;
     std::vector<BufferPool::Lease> out_;  // few, and none while it rests: a deque would keep 600 bytes for it
     bool wants_writable_ = false;
+    bool is_left_ = false;  // whole messages, for resume_
+    Timer resume_;
     Timer timer_;  // of the connect, of finishing, or of an end that is due
     Timer stall_;
 };
--- a/tests/net/viewer_side_test.cpp
+++ b/tests/net/viewer_side_test.cpp
@@ -225,3 +225,22 @@
     REQUIRE(stage.pass(soon_s, [&] { return !service.asked.set_ups.empty(); }));
     CHECK_EQ(service.asked.set_ups.front(), 5);
 }
+
+// Guards against clients at full speed that keep all others waiting, and against losing what they have left.
+TEST_CASE("a viewer that sends much at once gets a part of each turn, and all is heard though it leaves") {
+    on_every_stage([](Stage& stage) {
+        constexpr std::uint64_t messages = 1000, most_a_turn = 64;
+        Service service(stage, 100, 100);
+        const int busy = service.come_and_test();
+        std::string all;
+        for (std::uint64_t id = 1; id <= messages; ++id) all += encode(message_of(ViewerType::Release, id));
+        stage.far_send(busy, all);
+        stage.sleep(0.05);
+        stage.loop().turn(0);
+        CHECK_GT(service.asked.given.size(), 0);
+        CHECK_LE(service.asked.given.size(), most_a_turn);
+        stage.far_close(busy);
+        REQUIRE(stage.pass(soon_s, [&] { return service.side.connections() == 0; }));
+        CHECK_EQ(service.asked.given.size(), messages);
+    });
+}
