Let the test of a taken address wait until the agent knows of its connection

Seen: the second case of successor_test.cpp failed in 14 of 96 runs side by side.

Cause, traced in the log: the list came in the millisecond in which the connection was established, before the agent had heard that it was up. Nothing had been said on it, so no release is owed there, and none was sent; the test expected one.

Change: a session is set up on that connection first, so that it is known to be up, and the releases of both sessions are expected: stricter than before.

--- a/tests/scenarios/successor_test.cpp
+++ b/tests/scenarios/successor_test.cpp
@@ -27,11 +27,17 @@
         feed expect after=1
         stands 4
         s1 reset                               # its process dies; another one listens there at once
-        s1 expect connection
+        v1 send setup 6 home=0 copies=1
+        s1 expect START 6
+        s1 send STARTED 6
+        v1 expect answer 6
         feed send n=2 s1=removed s3=at:s1
         v1 expect release 4 cause=41
         v1 send heard 4
+        v1 expect release 6 cause=41
+        v1 send heard 6
         s1 expect FINISH 4 rc=31
+        s1 expect FINISH 6 rc=31
         v1 send setup 5 home=2 copies=1
         s1 expect START 5
         s1 send STARTED 5
