Record a session that is handed over before its server's side hears of it

Change: the record is written first, so that the end takes it out again.

Measured: store_tests and recovery_tests pass. No test of its own was written.

--- a/src/agent/session_journal.cpp
+++ b/src/agent/session_journal.cpp
@@ -125,10 +125,10 @@
 
 void SessionJournal::adopt(SessionId id, ServerNumber server) {
     reconciler_.claimed(id, server);
-    servers_->adopt(id, server);
     Entry& entry = entries_[id];
     entry.server = server;
     memory_.put(record_of(id, entry, Phase::Standing), false);
+    servers_->adopt(id, server);  // last: the session may be over at once
 }
 
 void SessionJournal::forget(SessionId id) {
