--- a/review/10/standin-2.cpp
+++ b/review/10/standin-2.cpp
@@ -1,5 +1,5 @@
-// A lesson server resets a connection that rests, and is at its full allowance of connections for two seconds. Its
-// session plays on: the viewer may not be told that it is over.
+// A lesson server resets a connection that rests, and is at its full allowance of connections for two
+// seconds. Its session plays on: the viewer may not be told that it is over.
 #include "world.h"
 
 using namespace review;
@@ -56,5 +56,6 @@
     if (ended_at == 0 || over->at < ended_at)
         return the.verdict(false, "its viewer was told that the session is over (cause " +
                                       std::to_string(over->cause) + ") while it played");
-    return the.verdict(over->at <= ended_at + 1.05, "released " + std::to_string(over->at - ended_at) + " s after its end");
+    return the.verdict(over->at <= ended_at + 1.05,
+                       "released " + std::to_string(over->at - ended_at) + " s after its end");
 }
--- a/review/9/standin-2.cpp
+++ b/review/9/standin-2.cpp
@@ -20,13 +20,15 @@
         out_of_range.hint_ms = "-30000.0";
         no_number.figures = "home:0;copies:1;top:5;viewer:none";
     }
-    Viewers first(the.loop, the.record, agent.port, "client-1"), second(the.loop, the.record, agent.port, "client-2");
+    Viewers first(the.loop, the.record, agent.port, "client-1"),
+        second(the.loop, the.record, agent.port, "client-2");
     first.ask(out_of_range);
     second.ask(no_number);
     the.loop.run_for(3);
     if (!agent.runs()) return the.verdict(false, "the agent has ended");
     const int served = (first.first(out_of_range.session, wire::answer) != nullptr ? 1 : 0) +
                        (second.first(no_number.session, wire::answer) != nullptr ? 1 : 0);
-    if (!the.trouble) return the.verdict(served == 2, std::to_string(served) + " of 2 sound clients were served");
+    if (!the.trouble)
+        return the.verdict(served == 2, std::to_string(served) + " of 2 sound clients were served");
     return the.verdict(served == 0, std::to_string(served) + " of 2 bad clients were served");
 }
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -1,6 +1,6 @@
-// Stand-ins for the review: a small world of lesson servers, viewers and a control feed on loopback addresses,
-// and the session agent as a process of its own, started by the deploy file's command. One thread, poll(2).
-// Servers, viewers and the feed behave as the users' pages say unless a case tells them otherwise.
+// Stand-ins for the review: a small world of lesson servers, viewers and a control feed on loopback
+// addresses, and the session agent as a process of its own, started by the deploy file's command. One thread,
+// poll(2). Servers, viewers and the feed behave as the users' pages say unless a case tells them otherwise.
 #pragma once
 
 #include <arpa/inet.h>
@@ -91,15 +91,11 @@
     struct Watch {
         std::function<void(short)> ready;
         std::function<bool()> wants_write;
-        bool paused = false;
     };
     void watch(int fd, std::function<void(short)> ready, std::function<bool()> wants_write = {}) {
-        watches_[fd] = std::make_shared<Watch>(Watch{std::move(ready), std::move(wants_write), false});
+        watches_[fd] = std::make_shared<Watch>(Watch{std::move(ready), std::move(wants_write)});
     }
     void forget(int fd) { watches_.erase(fd); }
-    void pause(int fd, bool paused) {
-        if (const auto it = watches_.find(fd); it != watches_.end()) it->second->paused = paused;
-    }
     void at(double time, std::function<void()> task) { timers_.emplace(time, std::move(task)); }
     void in(double seconds, std::function<void()> task) { at(now() + seconds, std::move(task)); }
 
@@ -115,7 +111,6 @@
         std::vector<pollfd> polls;
         std::vector<std::shared_ptr<Watch>> whose;
         for (const auto& [fd, watch] : watches_) {
-            if (watch->paused) continue;
             const bool write = watch->wants_write && watch->wants_write();
             polls.push_back({fd, static_cast<short>(POLLIN | (write ? POLLOUT : 0)), 0});
             whose.push_back(watch);
@@ -191,9 +186,6 @@
         out_ += bytes;
         flush();
     }
-    void pause(bool paused) {
-        if (is_open()) loop_.pause(fd_, paused);
-    }
     void close() {
         if (!is_open()) return;
         loop_.forget(fd_);
@@ -253,7 +245,6 @@
         explicit Connection(Loop& loop, int fd) : stream(loop, fd) {}
         Stream stream;
         int number = 0;
-        bool dead = false;  // of a process or machine that is gone: whatever comes on it resets it
     };
     using ConnectionPtr = std::shared_ptr<Connection>;
     struct Session {
@@ -269,7 +260,6 @@
     ~Server() {
         loop_.forget(listener_);
         ::close(listener_);
-        for (const int fd : fillers_) ::close(fd);
     }
 
     const std::string id;
@@ -281,7 +271,8 @@
     std::function<void(SessionId, int cause)> on_finish;
     std::map<SessionId, Session> standing;
     std::map<SessionId, int> starts;  // set-ups that have come whole, by session
-    std::map<SessionId, int> unacknowledged;  // causes of releases that could not be sent, or were not heard yet
+    std::map<SessionId, int>
+        unacknowledged;  // causes of releases that could not be sent, or were not heard yet
 
     void say(const ConnectionPtr& on, const Json& message) {
         record_.line("%s -> agent  [c%d] %s", id.c_str(), on->number, message.dump().c_str());
@@ -322,7 +313,7 @@
         message["opts"] = {{"note", "local"}, {"value", note_value}};
         say(to, message);
     }
-    bool usable(const ConnectionPtr& on) const { return on && on->stream.is_open() && !on->dead && !gone_; }
+    bool usable(const ConnectionPtr& on) const { return on && on->stream.is_open(); }
     ConnectionPtr any() const {
         for (const auto& connection : connections_) {
             if (usable(connection)) return connection;
@@ -334,34 +325,15 @@
                                                       [this](const auto& c) { return usable(c); }));
     }
 
-    // The machine vanishes: open connections stay open and silent, new ones never come up, its sessions are
-    // cut with it.
-    void vanish() {
-        record_.line("%s vanishes, %zu sessions with it", id.c_str(), standing.size());
-        gone_ = true;
-        standing.clear();
-        unacknowledged.clear();
-        for (const auto& connection : connections_) {
-            connection->dead = true;
-            connection->stream.pause(true);
-        }
-        fill_backlog();
-    }
-    // A new process at the same address, under the same id; it knows nothing of what was before.
-    void come_back() {
-        record_.line("%s is back as a new process", id.c_str());
-        gone_ = false;
-        empty_backlog();
-        for (const auto& connection : connections_) connection->stream.pause(false);
-    }
-    // The process at the address dies: it resets its connections and cuts its sessions.
+    // It resets its connections, what stands there stays.
     void reset_all() {
         for (const auto& connection : connections_) connection->stream.reset();
         connections_.clear();
     }
     // New connections are refused (as at a full allowance of connections), or taken again.
     void refuse(bool refused) {
-        record_.line("%s %s", id.c_str(), refused ? "refuses new connections" : "takes new connections again");
+        record_.line("%s %s", id.c_str(),
+                     refused ? "refuses new connections" : "takes new connections again");
         if (refused) {
             loop_.forget(listener_);
             ::close(listener_);
@@ -375,28 +347,6 @@
     void watch_listener() {
         loop_.watch(listener_, [this](short) { accept(); });
     }
-    // With a backlog of nothing that is full, the kernel answers no connect.
-    void fill_backlog() {
-        loop_.pause(listener_, true);
-        ::listen(listener_, 0);
-        const sockaddr_in address = loopback(port);
-        for (int i = 0; i < 3; ++i) {
-            const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-            ::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address);
-            fillers_.push_back(fd);
-        }
-    }
-    void empty_backlog() {
-        for (const int fd : fillers_) ::close(fd);
-        fillers_.clear();
-        while (true) {
-            const int fd = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
-            if (fd < 0) break;
-            ::close(fd);
-        }
-        ::listen(listener_, 128);
-        loop_.pause(listener_, false);
-    }
     void accept() {
         while (true) {
             const int fd = ::accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
@@ -409,10 +359,6 @@
             connection->stream.taken = [this, weak](const std::string& bytes) -> std::size_t {
                 const ConnectionPtr on = weak.lock();
                 if (!on) return bytes.size();
-                if (on->dead) {
-                    on->stream.reset();
-                    return 0;
-                }
                 const std::size_t end = bytes.find('\n');
                 if (end == std::string::npos) return 0;
                 take(on, bytes.substr(0, end));
@@ -457,9 +403,7 @@
     Loop& loop_;
     Record& record_;
     int listener_ = -1, accepted_ = 0;
-    bool gone_ = false;
     std::vector<ConnectionPtr> connections_;
-    std::vector<int> fillers_;
 };
 
 // ---- The control feed ----
@@ -492,14 +436,6 @@
         events.push_back({{"n", number},
                           {"members", {{"revision", number}, {"complete", complete}, {"members", members}}}});
     }
-    // From now on it is in the control feed, and so told.
-    void tell(const Json& members) {
-        add(false, members);
-        record_.line("feed tells %s", events.back().dump().c_str());
-        for (const auto& call : calls_) {
-            if (call->number > 0) call->stream.send(text_of(events.back()));
-        }
-    }
     Json known() const { return {{"n", events.size()}, {"events", events}}; }
 
 private:
@@ -551,7 +487,8 @@
 // ---- Viewers ----
 
 namespace wire {
-constexpr int set_up = 1, progress = 6, answer = 9, release = 12, release_heard = 16, test = 52, test_passed = 53;
+constexpr int set_up = 1, progress = 6, answer = 9, release = 12, release_heard = 16, test = 52,
+              test_passed = 53;
 
 inline void put(std::string& out, std::uint64_t value, int bytes) {
     for (int i = bytes - 1; i >= 0; --i) out.push_back(static_cast<char>(value >> (8 * i)));
@@ -627,12 +564,6 @@
                      what.hint_ms.c_str(), what.figures.c_str());
         send(text_of(what));
     }
-    void release(SessionId session, int cause) {
-        record_.line("%s -> agent  release %s cause=%d", name_.c_str(), hex(session).c_str(), cause);
-        std::string parameters;
-        wire::parameter(parameters, 92, std::string(1, static_cast<char>(cause)));
-        send(wire::message(wire::release, session, parameters));
-    }
     void test() {
         std::string parameters;
         wire::parameter(parameters, 92, std::string(1, '\0'));
@@ -764,14 +695,12 @@
         }
         give_up("the agent is not ready within 30 s");
     }
-    void signal(int number) const { ::kill(pid_, number); }
     bool runs() {
         if (pid_ <= 0) return false;
         if (::waitpid(pid_, &status_, WNOHANG) == 0) return true;
         pid_ = -1;
         return false;
     }
-    int status() const { return status_; }
     void end() {
         if (pid_ <= 0) return;
         ::kill(pid_, SIGKILL);
