--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -723,16 +723,17 @@
     int status_ = 0;
 };
 
-// What every case begins with: run.sh names the root, the case's folder and a temporary folder.
+// What every case begins with: run.sh reads TROUBLE and names it after the root, the case's folder and a
+// temporary folder.
 struct Case {
     Case(int argc, char** argv) {
-        if (argc < 4) give_up("expected the root, the case's folder and a temporary folder");
+        if (argc < 5)
+            give_up("expected the root, the case's folder, a temporary folder and whether there is trouble");
         ::signal(SIGPIPE, SIG_IGN);
         root = argv[1];
         temporary = argv[3];
         record.open(std::string(argv[2]) + "/record.txt");
-        const char* wanted = std::getenv("TROUBLE");
-        trouble = wanted == nullptr || std::string(wanted) != "0";
+        trouble = std::string(argv[4]) != "0";
         record.line("the disruption is %s", trouble ? "on" : "off");
     }
     int verdict(bool kept, const std::string& why) {
