--- a/src/codec/viewer_codec.cpp
+++ b/src/codec/viewer_codec.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::uint8_t class_code = 64;
 constexpr std::uint8_t wait_code = 66;
+constexpr std::uint8_t tenant_code = 68;
 constexpr std::uint8_t title_code = 72;
 constexpr std::uint8_t figures_code = 74;
 constexpr std::uint8_t stay_away_code = 76;
@@ -54,6 +55,7 @@
     return *value;
 }
 
+// "name:value;name:value", with or without a semicolon at the end.
 std::map<std::string, std::string> parse_figures(std::string_view text) {
     std::map<std::string, std::string> figures;
     while (!text.empty()) {
@@ -61,8 +63,9 @@
         const std::string_view pair = text.substr(0, cut);
         text.remove_prefix(cut == std::string_view::npos ? text.size() : cut + 1);
         const std::size_t colon = pair.find(':');
-        if (colon == std::string_view::npos) continue;
-        figures.insert_or_assign(std::string(pair.substr(0, colon)), std::string(pair.substr(colon + 1)));
+        if (colon == std::string_view::npos) malformed("a figure has no value");
+        const auto [it, fresh] = figures.emplace(pair.substr(0, colon), pair.substr(colon + 1));
+        if (!fresh) malformed("a figure is named twice");
     }
     return figures;
 }
@@ -75,6 +78,9 @@
         case wait_code:
             message.wait_ms = number_of(value, "the wait");
             break;
+        case tenant_code:
+            message.tenant = value;
+            break;
         case title_code:
             message.title = value;
             break;
@@ -156,6 +162,7 @@
     put(body, message.session, session_size);
     if (message.class_name) put(body, class_code, *message.class_name);
     if (message.wait_ms) put(body, wait_code, to_text(*message.wait_ms));
+    if (message.tenant) put(body, tenant_code, *message.tenant);
     if (message.title) put(body, title_code, *message.title);
     if (!message.figures.empty()) {
         std::string text;
--- a/src/codec/viewer_codec.h
+++ b/src/codec/viewer_codec.h
@@ -27,7 +27,7 @@
     std::uint64_t session = 0;
     std::optional<std::uint8_t> cause;
     std::optional<std::string> description;
-    std::optional<std::string> class_name, title;
+    std::optional<std::string> class_name, tenant, title;
     std::optional<double> wait_ms, hint_ms, stay_away_ms;
     std::map<std::string, std::string> figures;  // of parameter 74, by name
 
--- a/tests/scenarios/codec_test.cpp
+++ b/tests/scenarios/codec_test.cpp
@@ -28,6 +28,10 @@
         viewer-codec expect malformed          # a cause of two bytes
         viewer-codec send raw=000d01000000000000000742000178
         viewer-codec expect malformed          # a wait that is no number
+        viewer-codec send raw=00110100000000000000074a0005686f6d653b
+        viewer-codec expect malformed          # a figure without a value
+        viewer-codec send raw=00170100000000000000074a000b613a313b613a313b623a31
+        viewer-codec expect malformed          # a figure that is named twice
     )"),
              "");
 }
