Take only lines that are one JSON object in UTF-8 for messages of lesson servers

Cause: parse() read a line that is no JSON a second time, each byte from 0x80 on as a character of its own, so that noise within any text became readable. On related paths the codec also took a line with a zero byte and anything behind its object (the library takes it for the end of its input), an answer without a description, and a tag of fewer than 16 digits.

Change: the codec says once which lines are sound: one JSON object in UTF-8 and nothing else, a tag of 16 hex digits, a description with each answer. Any other line can't be read: its connection ends, and the set-ups out on it have failed. Strings are written by the JSON library, which refuses what is not UTF-8; the codec's own writer, widen() and narrow() are gone, read() is split into steps.

--- a/src/codec/message.cpp
+++ b/src/codec/message.cpp
@@ -7,8 +7,14 @@
 
 namespace jasperspread::codec {
 
+namespace {
+
+constexpr std::size_t session_id_digits = 16;
+
+}  // namespace
+
 std::string to_hex(std::uint64_t id) {
-    std::string text(16, '0');
+    std::string text(session_id_digits, '0');
     for (auto digit = text.rbegin(); digit != text.rend(); ++digit, id >>= 4) {
         *digit = "0123456789abcdef"[id & 15];
     }
@@ -22,6 +28,11 @@
     return value;
 }
 
+std::optional<std::uint64_t> parse_session_id(std::string_view hex) {
+    if (hex.size() != session_id_digits) return std::nullopt;
+    return parse_hex(hex);
+}
+
 std::optional<double> parse_number(std::string_view text) {
     double value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
--- a/src/codec/server_codec.cpp
+++ b/src/codec/server_codec.cpp
@@ -31,103 +31,83 @@
     return ServerVerb::Unknown;
 }
 
-// Written by hand: the library's own writer throws on text that is not UTF-8, and descriptions are opaque.
+// A string with its quotes and escapes. Throws CodecError (Malformed) where it is not UTF-8, as no JSON
+// string holds it.
 void put_string(std::string& out, std::string_view text) {
-    out.push_back('"');
-    for (const char c : text) {
-        const auto byte = static_cast<unsigned char>(c);
-        if (c == '"' || c == '\\') {
-            out.push_back('\\');
-            out.push_back(c);
-        } else if (c == '\n') {
-            out += "\\n";
-        } else if (c == '\r') {
-            out += "\\r";
-        } else if (byte < 0x20) {
-            out += "\\u00";
-            out.push_back("0123456789abcdef"[byte >> 4]);
-            out.push_back("0123456789abcdef"[byte & 15]);
-        } else {
-            out.push_back(c);
-        }
+    try {
+        out += Json(text).dump();
+    } catch (const Json::type_error&) {
+        malformed("a text is not UTF-8");
     }
-    out.push_back('"');
 }
 
-// Every byte from 0x80 on as the character of that number, so that any bytes become UTF-8; and back.
-std::string widen(std::string_view bytes) {
-    std::string text;
-    for (const char c : bytes) {
-        const auto byte = static_cast<unsigned char>(c);
-        if (byte < 0x80) {
-            text.push_back(c);
-        } else {
-            text.push_back(static_cast<char>(0xC0 | byte >> 6));
-            text.push_back(static_cast<char>(0x80 | (byte & 0x3F)));
-        }
-    }
-    return text;
-}
-
-std::string narrow(std::string_view text) {
-    std::string bytes;
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        const auto byte = static_cast<unsigned char>(text[i]);
-        if ((byte == 0xC2 || byte == 0xC3) && i + 1 < text.size()) {
-            const auto next = static_cast<unsigned char>(text[++i]);
-            bytes.push_back(static_cast<char>((byte & 3) << 6 | (next & 0x3F)));
-        } else {
-            bytes.push_back(text[i]);
-        }
-    }
-    return bytes;
-}
-
-std::string text_of(const Json& value, bool wide) {
-    if (!value.is_string()) return value.dump(-1, ' ', false, Json::error_handler_t::replace);
-    const auto& text = value.get_ref<const std::string&>();
-    return wide ? narrow(text) : text;
+std::string text_of(const Json& value) {
+    return value.is_string() ? value.get<std::string>() : value.dump();
 }
 
-// The line as JSON; `wide` tells that it was not UTF-8 and its texts must be narrowed again.
-Json parse(std::string_view line, bool& wide) {
+// The whole line as one JSON object in UTF-8.
+Json parse(std::string_view line) {
+    // The parser takes a zero byte for the end of its input.
+    if (line.find('\0') != std::string_view::npos) malformed("a line has a zero byte");
     Json json = Json::parse(line, nullptr, false);
-    wide = json.is_discarded();
-    if (wide) json = Json::parse(widen(line), nullptr, false);
     if (!json.is_object()) malformed("a line is not a JSON object");
     return json;
 }
 
-ServerMessage read(std::string_view line) {
-    bool wide = false;
-    const Json json = parse(line, wide);
-    ServerMessage message;
-    const auto verb = json.find("verb"), tag = json.find("tag");
+void read_verb(ServerMessage& message, const Json& json) {
+    const auto verb = json.find("verb");
     if (verb == json.end() || !verb->is_string()) malformed("a line has no verb");
     message.verb = verb_of(verb->get_ref<const std::string&>());
-    if (message.verb == ServerVerb::Unknown) message.name = text_of(*verb, wide);
-    if (tag != json.end()) {
-        const auto id = tag->is_string() ? parse_hex(tag->get_ref<const std::string&>()) : std::nullopt;
-        if (!id) malformed("a tag is not 16 hex digits");
-        message.session = *id;
-    } else if (message.verb != ServerVerb::Unknown) {
-        malformed("a line has no tag");
-    }
-    if (const auto opts = json.find("opts"); opts != json.end()) {
-        if (!opts->is_object()) malformed("opts is not an object");
-        for (const auto& [name, value] : opts->items()) {
-            if (value.is_string() || value.is_number()) message.fields.emplace(name, text_of(value, wide));
-        }
+    if (message.verb == ServerVerb::Unknown) message.name = text_of(*verb);
+}
+
+// Of a later version's verbs it is not known whether they belong to a session.
+void read_session(ServerMessage& message, const Json& json) {
+    const auto tag = json.find("tag");
+    if (tag == json.end()) {
+        if (message.verb != ServerVerb::Unknown) malformed("a line has no tag");
+        return;
     }
-    if (const auto cause = json.find("rc"); cause != json.end()) {
-        const bool in_range = cause->is_number_integer() && *cause >= 0 && *cause <= 255;
-        if (!in_range) malformed("rc is not a cause");
-        message.cause = cause->get<int>();
+    const auto id = tag->is_string() ? parse_session_id(tag->get_ref<const std::string&>()) : std::nullopt;
+    if (!id) malformed("a tag is not 16 hex digits");
+    message.session = *id;
+}
+
+void read_fields(ServerMessage& message, const Json& json) {
+    const auto opts = json.find("opts");
+    if (opts == json.end()) return;
+    if (!opts->is_object()) malformed("opts is not an object");
+    for (const auto& [name, value] : opts->items()) {
+        if (value.is_string() || value.is_number()) message.fields.emplace(name, text_of(value));
     }
-    if (const auto blob = json.find("blob"); blob != json.end()) {
-        if (!blob->is_string()) malformed("blob is not a text");
-        message.description = text_of(*blob, wide);
+}
+
+void read_cause(ServerMessage& message, const Json& json) {
+    const auto cause = json.find("rc");
+    if (cause == json.end()) return;
+    const bool in_range = cause->is_number_integer() && *cause >= 0 && *cause <= 255;
+    if (!in_range) malformed("rc is not a cause");
+    message.cause = cause->get<int>();
+}
+
+void read_description(ServerMessage& message, const Json& json) {
+    const auto blob = json.find("blob");
+    if (blob == json.end()) {
+        if (message.verb == ServerVerb::Started) malformed("an answer has no description");
+        return;
     }
+    if (!blob->is_string()) malformed("blob is not a text");
+    message.description = blob->get<std::string>();
+}
+
+ServerMessage read(std::string_view line) {
+    const Json json = parse(line);
+    ServerMessage message;
+    read_verb(message, json);
+    read_session(message, json);
+    read_fields(message, json);
+    read_cause(message, json);
+    read_description(message, json);
     return message;
 }
 
--- a/tests/scenarios/codec_test.cpp
+++ b/tests/scenarios/codec_test.cpp
@@ -48,8 +48,8 @@
     CHECK_EQ(play(R"(
         server-codec send text={"verb":"STARTED","tag":"000000000000002a","opts":{"x":1.5,"y":"z","w":[1]},"blob":"a\r\n\"b\u00e9"}
         server-codec expect STARTED 42 x=1.5 y=z blob=hex:610d0a2262c3a9
-        server-codec send STARTED 5 blob=hex:ff0022c3a95c80
-        server-codec expect STARTED 5 blob=hex:ff0022c3a95c80
+        server-codec send STARTED 5 blob=hex:7f0022c3a95cf09f8eac
+        server-codec expect STARTED 5 blob=hex:7f0022c3a95cf09f8eac
         server-codec send text={"verb":"NOVEL","later":{}}
         server-codec expect ?
     )"),
@@ -62,8 +62,16 @@
         server-codec expect malformed
         server-codec send text={"verb":"FINISH","tag":"xyz"}
         server-codec expect malformed
-        server-codec send text={"verb":"FINISH","tag":"01","rc":900}
+        server-codec send text={"verb":"FINISH","tag":"0000000000000001","rc":900}
         server-codec expect malformed
+        server-codec send text={"verb":"FINISH","tag":"01","rc":16}
+        server-codec expect malformed          # half an id
+        server-codec send raw=7b2276657262223a224c41544552222c226f707473223a7b2278223a22ff227d7d
+        server-codec expect malformed          # {"verb":"LATER","opts":{"x":"\xff"}}
+        server-codec send raw=7b2276657262223a224c41544552227d00
+        server-codec expect malformed          # a zero byte behind the object
+        server-codec send text={"verb":"STARTED","tag":"0000000000000001","opts":{}}
+        server-codec expect malformed          # no description
         server-codec send text={"verb":"FINISH"}
         server-codec expect malformed
         server-codec send text=[]
--- a/tests/scenarios/program_test.cpp
+++ b/tests/scenarios/program_test.cpp
@@ -10,11 +10,11 @@
         agent send start
         v1 send test 3
         v1 expect result 3 cause=1
-        v1 send setup 7 class=paid wait=3000 body=hex:0aff22
-        s1 expect START 7 class=paid key=7f3a9c21e0b4d655 rung=1 blob=hex:0aff22
+        v1 send setup 7 class=paid wait=3000 body=hex:0ac3bf22
+        s1 expect START 7 class=paid key=7f3a9c21e0b4d655 rung=1 blob=hex:0ac3bf22
         s1 send PENDING 7
-        s1 send STARTED 7 blob=hex:00fe5c
-        v1 expect answer 7 body=hex:00fe5c
+        s1 send STARTED 7 blob=hex:00c3be5c
+        v1 expect answer 7 body=hex:00c3be5c
         s1 send NOTICE 7 note=local value=0.5
         s1 send FINISH 7 rc=16
         s1 expect FINISHED 7
--- a/tests/scenarios/scenario.cpp
+++ b/tests/scenarios/scenario.cpp
@@ -161,6 +161,7 @@
     codec::ServerMessage m;
     m.verb = server_verbs.at(words[0]);
     m.session = std::stoull(words.at(1));
+    if (m.verb == codec::ServerVerb::Started) m.description = "there";
     for (const auto& [name, value] : fields_of(words, 2)) {
         if (name == "rc")
             m.cause = std::stoi(value);
--- a/tests/scenarios/unsound_test.cpp
+++ b/tests/scenarios/unsound_test.cpp
@@ -1,10 +1,52 @@
 // Messages of viewers and servers that are not as the protocol page has them: nobody is served by them.
 #include <doctest/doctest.h>
 
+#include <string>
+#include <string_view>
+
 #include "scenario.h"
 
 using scenario::play;
 
+namespace {
+
+// A line as the server writes it, for `s1 send raw=`.
+std::string hex_of(std::string_view bytes) {
+    std::string hex;
+    for (const unsigned char byte : bytes) {
+        hex.push_back("0123456789abcdef"[byte >> 4]);
+        hex.push_back("0123456789abcdef"[byte & 15]);
+    }
+    return hex;
+}
+
+// What goes wrong where a server answers a paid set-up with this line: it is to fail, as it may have run, and
+// the connection is no further use.
+std::string play_unsound_answer(std::string_view line) {
+    return play(R"(
+        agent send start
+        v1 send setup 5 class=paid
+        s1 expect START 5
+        s1 send raw=)" +
+                hex_of(line) + R"(
+        v1 expect release 5 cause=41
+        s1 expect closed
+        v1 send test 1
+        v1 expect result 1
+    )");
+}
+
+std::string play_sound_answer(std::string_view line, std::string_view description) {
+    return play(R"(
+        agent send start
+        v1 send setup 5 class=paid
+        s1 expect START 5
+        s1 send raw=)" +
+                hex_of(line) + "\nv1 expect answer 5 body=hex:" + hex_of(description) + "\n");
+}
+
+}  // namespace
+
 // Guards against serving a bad client: a figure that was no number, or out of its range, was passed over.
 TEST_CASE("unsound set-up: a figure that is there but can't be used is refused, and no server hears of it") {
     CHECK_EQ(play(R"(
@@ -44,3 +86,46 @@
     )"),
              "");
 }
+
+// Guards against 'served' with what no lesson server made: a STARTED line with noise in its description, no
+// JSON any more, was read byte by byte and passed on.
+TEST_CASE("unsound line: an answer with noise in its description fails the set-up") {
+    const std::string head = R"({"verb":"STARTED","tag":"0000000000000005","opts":{},"blob":")";
+    const std::string noise[] = {"m=audio \xf8\x9c\xff\x81 RTP", "\xe9", "\xc0\xaf", "\xed\xa0\x80",
+                                 "\x80\x80"};
+    for (const std::string& description : noise) {
+        CAPTURE(hex_of(description));
+        CHECK_EQ(play_unsound_answer(head + description + "\"}"), "");
+    }
+}
+
+// Guards against the same by noise elsewhere in the line: any line that is no JSON object counts as
+// unreadable.
+TEST_CASE("unsound line: noise outside of the description makes the whole line unreadable") {
+    const std::string line =
+        R"({"verb":"STARTED","tag":"0000000000000005","opts":{"load":"x0:1"},"blob":"there"})";
+    const auto with = [&](std::string_view old_part, std::string_view new_part) {
+        std::string changed = line;
+        return changed.replace(changed.find(old_part), old_part.size(), new_part);
+    };
+    CHECK_EQ(play_unsound_answer(with("x0:1", "x0\xff\xfe")), "");
+    CHECK_EQ(play_unsound_answer(with("opts", "op\xf8s")), "");
+    CHECK_EQ(play_unsound_answer(line + std::string("\0 noise", 7)), "");
+}
+
+// Guards against 'served' with an answer that is not one, as it has no description.
+TEST_CASE("unsound line: an answer without a description fails the set-up") {
+    CHECK_EQ(play_unsound_answer(R"({"verb":"STARTED","tag":"0000000000000005","opts":{}})"), "");
+}
+
+// Guards against taking a line that has lost a part of its id for one on another session.
+TEST_CASE("unsound line: an answer whose id has not all its digits fails the set-up") {
+    CHECK_EQ(play_unsound_answer(R"({"verb":"STARTED","tag":"5","opts":{},"blob":"there"})"), "");
+}
+
+TEST_CASE("sound line: a description in UTF-8 and with escapes is passed on unchanged") {
+    CHECK_EQ(play_sound_answer("{\"verb\":\"STARTED\",\"tag\":\"0000000000000005\",\"blob\":\"Citt\xc3\xa0 "
+                               "\\u00e9\\r\\n\\u0000\xf0\x9f\x8e\xac\"}\r",
+                               std::string_view("Citt\xc3\xa0 \xc3\xa9\r\n\0\xf0\x9f\x8e\xac", 16)),
+             "");
+}
