Tell a second copy of an answer from the answer to a later attempt

With an error or moot first, a further attempt began while the one before was out.

Cause: a lesson server's message names the session alone. An attempt that ended as full, moot or by an error may be followed by one at the same server, on the same connection, and any FINISH of that server was taken for its end: a second copy of the first answer, some milliseconds late, too.

Change: a set-up is answered on the connection that it came by, so a further attempt at a server takes a connection on which no attempt of that set-up was answered in the last 5 s, and an end on another connection than the attempt's own is acknowledged and means nothing (answer_repeated, debug). Where no such connection is to be had, the attempt is not made. Why it works: a copy comes on the connection of the answer that it copies.

The scenarios can name a server's newest connection.

--- a/src/agent/server_connections.cpp
+++ b/src/agent/server_connections.cpp
@@ -116,13 +116,14 @@
     return at.links.back().get();
 }
 
-ServerConnections::Link* ServerConnections::link_for_set_up(ServerNumber number) {
+ServerConnections::Link* ServerConnections::link_for_set_up(ServerNumber number, SessionId id) {
     const double stale = loop_.now() - stale_part_of_idle * limits_.conn_idle;
     Link* best = nullptr;
     for (const auto& link : server(number).links) {
         const bool is_full = link->sessions.size() >= limits_.streams_per_conn;
         if (link->closing || link->avoided || link->brief || is_full) continue;
         if (limits_.conn_idle > 0 && link->used < stale) continue;
+        if (link->answered.contains(id, loop_.now())) continue;
         const bool better = best == nullptr || (link->connection.is_open() && !best->connection.is_open());
         if (better) best = link.get();
     }
--- a/src/agent/server_connections.h
+++ b/src/agent/server_connections.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -17,6 +18,7 @@
 #include "agent/directory.h"
 #include "agent/end_watch.h"
 #include "agent/log.h"
+#include "agent/recent_ids.h"
 #include "agent/retransmit_queue.h"
 #include "agent/seam.h"
 #include "agent/silence_limits.h"
@@ -67,7 +69,8 @@
           silence_(
               silence_limits({limits.note_every, limits.note_late, limits.conn_idle, limits.can_probe})) {}
 
-    Link* link_for_set_up(ServerNumber number);  // null: there is none to be had
+    // One on which no attempt of this set-up was answered lately; null: there is none to be had.
+    Link* link_for_set_up(ServerNumber number, SessionId id);
     // On the preferred connection, on another open one, or on the next one.
     void send(ServerNumber number, const Link* preferred, const codec::ServerMessage& message);
     // The same for the release of a session, which is sent again on further connections until it is
@@ -178,8 +181,12 @@
     const std::uint64_t number;    // from 1, of this process
     std::deque<SessionId> queue;   // set-ups not yet written
     std::set<SessionId> sessions;  // set-ups and sessions that were set up here
-    double up_at = 0;              // since when it is open; 0: it never was
-    bool has_spoken = false;       // a message came on it
+    // Set-ups that an answer ended here. A second copy of it names the session alone, and would pass for the
+    // end of a later attempt on this connection.
+    RecentIds answered{copy_comes_within_s, std::numeric_limits<std::size_t>::max()};
+    static constexpr double copy_comes_within_s = 5;
+    double up_at = 0;         // since when it is open; 0: it never was
+    bool has_spoken = false;  // a message came on it
     // A release that comes so long after a connection's opening was held for it, s.
     static constexpr double held_release_s = 1;
     std::size_t held_releases = 0;  // that came as soon as it was open, and were not reported yet
--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -185,7 +185,7 @@
 // ---- Set-ups ----
 
 void ServerLinks::set_up(const Attempt& attempt) {
-    Link* const free = connections_.link_for_set_up(attempt.server);
+    Link* const free = connections_.link_for_set_up(attempt.server, attempt.id);
     const Entry& entry = place(attempt.id, Entry{attempt, State::Queued, free, loop_.now()});
     if (entry.link == nullptr) return attempt_over(attempt.id, Ending::Unused, {});
     Link& link = *entry.link;
@@ -349,7 +349,7 @@
             link.connection.send(encode(word(ServerVerb::Finished, id)));
             // What a server says of a session's earlier stay there, before it was handed on, is old.
             const std::uint64_t epoch = whole(message.field("epoch"));
-            if (entry != nullptr && (epoch == 0 || epoch >= entry->home_epoch)) finished(message);
+            if (entry != nullptr && (epoch == 0 || epoch >= entry->home_epoch)) finished(link, message);
             if (entry == nullptr && epoch > 0)
                 events_.ended_at(id, speaker, epoch, ending_of_session(message));
             break;
@@ -465,16 +465,27 @@
     connections_.send(number, nullptr, message);
 }
 
-void ServerLinks::finished(const ServerMessage& message) {
+void ServerLinks::finished(Link& link, const ServerMessage& message) {
     const SessionId id = message.session;
-    const State state = entries_.at(id).state;
-    if (state == State::Queued) return;
+    const Entry& entry = entries_.at(id);
+    if (entry.state == State::Queued) return;
     const LoadReport load = load_of(message);
-    if (state == State::Written) return attempt_over(id, ending_of_attempt(message), load);
+    if (entry.state == State::Written) {
+        // A set-up is answered on its own connection: this is a second copy of the answer to an earlier one.
+        if (entry.link != &link) return note_repeated_answer(link, id);
+        link.answered.add(id, loop_.now());
+        return attempt_over(id, ending_of_attempt(message), load);
+    }
     erase(id);
     events_.session_ended(id, ending_of_session(message), load);
 }
 
+void ServerLinks::note_repeated_answer(const Link& link, SessionId id) {
+    if (!log_.wants(Level::Debug)) return;
+    log_.debug("answer_repeated",
+               {{"session", codec::to_hex(id)}, {"connection", std::to_string(link.number)}});
+}
+
 // ---- Probes ----
 
 // Its answer, whatever it is, is heard as a sign of life and told to nobody.
--- a/src/agent/server_links.h
+++ b/src/agent/server_links.h
@@ -81,7 +81,8 @@
     void probe(Link& link) override;
     void server_silent(ServerNumber number) override;
     void pump(Link& link);
-    void finished(const codec::ServerMessage& message);
+    void finished(Link& link, const codec::ServerMessage& message);
+    void note_repeated_answer(const Link& link, SessionId id);
     void take_named(Link& link, const codec::ServerMessage& message);
     void attempt_over(SessionId id, cinderfront::Ending how, const cinderfront::LoadReport& load);
     void all_over(ServerNumber number, ServerConnections::Process process);
--- a/tests/scenarios/crossing_test.cpp
+++ b/tests/scenarios/crossing_test.cpp
@@ -325,6 +325,53 @@
              "");
 }
 
+// Guards against a paid set-up that is refused while an attempt of it runs: a second copy of a server's
+// earlier answer was taken for the end of the later attempt there.
+TEST_CASE("second copy of an answer: it does not pass for the end of a later attempt at the same server") {
+    CHECK_EQ(play(R"(
+        agent send start
+        v1 send setup 4 at=s-00000001          # its end makes room at a full server
+        v1 send setup 6 at=s-00000002
+        s1 expect connection
+        s2 expect connection
+        v1 send setup 5 class=paid home=0 copies=2
+        s1 expect START 5
+        s1 send FINISH 5 rc=34
+        s2 expect START 5
+        s1 send FINISH 4 rc=16
+        v1 expect release 4 cause=16
+        v1 send heard 4
+        s2 send FINISH 5 rc=34
+        s1 expect START 5
+        s1 oldest
+        s1 send FINISH 5 rc=34                 # the first answer once more
+        v1 expect nothing 0.3
+        s1 newest
+        s1 send STARTED 5 blob=third
+        v1 expect answer 5 body=third
+    )"),
+             "");
+}
+
+// Guards against two attempts of a session at once: the same, where the first one never left or met an error.
+TEST_CASE("second copy of an answer: no further attempt begins while the one before is out") {
+    for (const std::string first : {"class=paid rc=102", "class=free rc=47"}) {
+        CAPTURE(first);
+        const std::string class_name = first.substr(0, first.find(' '));
+        const std::string cause = first.substr(first.find(' ') + 1);
+        CHECK_EQ(play("agent send start\nv1 send setup 5 wait=20000 home=0 copies=1 " + class_name +
+                      "\ns1 expect START 5\ns1 send FINISH 5 " + cause +
+                      "\ns1 expect START 5\ns1 oldest\ns1 send FINISH 5 " + cause + R"(
+            s1 expect nothing 0.2
+            v1 expect nothing 0.1
+            s1 newest
+            s1 send STARTED 5 blob=second
+            v1 expect answer 5 body=second
+        )"),
+                 "");
+    }
+}
+
 TEST_CASE("an answer that arrives in the turn of the viewer's give-up, or of its time, is released") {
     CHECK_EQ(play(R"(
         agent send start
--- a/tests/scenarios/scenario.cpp
+++ b/tests/scenarios/scenario.cpp
@@ -301,12 +301,13 @@
             throw Wrong("no connection came");
         last = wires.back().get();
     }
-    // The oldest connection that is open; what is sent next goes on it.
-    void talk_on_oldest() {
-        const auto open =
-            std::find_if(wires.begin(), wires.end(), [](const auto& wire) { return !wire->ended; });
-        if (open == wires.end()) throw Wrong("no connection is open");
-        last = open->get();
+    // The oldest or the newest connection that is open; what is sent next goes on it.
+    void talk_on(bool newest) {
+        last = nullptr;
+        for (const auto& wire : wires) {
+            if (!wire->ended && (newest || last == nullptr)) last = wire.get();
+        }
+        if (last == nullptr) throw Wrong("no connection is open");
     }
     void drop(bool hard) {
         for (const auto& wire : wires) hard ? wire->reset() : wire->fd.reset();
@@ -606,7 +607,7 @@
         }
         if (verb == "deaf") return server.go_deaf();
         if (verb == "hear") return server.hear_again();
-        if (verb == "oldest") return server.talk_on_oldest();
+        if (verb == "oldest" || verb == "newest") return server.talk_on(verb == "newest");
         if (verb == "send") return server.talking().write(server_bytes(rest));
         if (verb == "expect" && rest.at(0) == "connection") {
             const bool is_bounded = rest.size() > 1;
--- a/tests/scenarios/scenario.h
+++ b/tests/scenarios/scenario.h
@@ -20,7 +20,7 @@
 //   feed send n=4 s3=at:s1               a new server at the address of another one
 //   feed send n=4 revision=9             where the list's revision is not the event's number
 //   X expect nothing 0.3, X expect closed, X close, X reset, v1 flood
-//   s1 oldest                            what it sends from then on goes to its oldest open connection
+//   s1 oldest, s1 newest                 what it sends from then on goes to that one of its open connections
 //   s1 deaf, s1 hear                     new connections to it stay silent; come up again
 //   s1 refuse                            new connections are refused, those that it has stay open and silent
 //   s1 always reset, close, garbage, half, NOTICE ..., or pieces=0.15 FINISH ... [FINISH ...]
