End a session at once whose server told of its end before it was handed over

Cause: a release for a session that is not held was acknowledged and forgotten, and adopt() did not ask whether one had come. A server that was acknowledged has nothing more to say. In the same way a session that had stood here and was over was held again when it was handed over once more.

Change: RecentReleases remembers for 10 s, at most 4,096, how sessions have ended at which server; one that is handed over there is over at once, with the server's own cause. Why it works: the end is known whichever of the two is read first. A release of another server means nothing.

--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -19,6 +19,9 @@
 namespace {
 
 constexpr double probe_timeout_s = 1.0;
+// A set-up that hands a session over may be written slowly, and be read so long after the session's end, s.
+constexpr double releases_kept_s = 10;
+constexpr std::size_t most_releases_kept = 4096;
 
 }  // namespace
 
@@ -29,6 +32,7 @@
       events_(events),
       directory_(directory),
       limits_(limits),
+      released_(releases_kept_s, most_releases_kept),
       connections_(loop, pool, log, *this, directory, limits) {}
 
 ServerLinks::~ServerLinks() {
@@ -311,6 +315,8 @@
 void ServerLinks::adopt(SessionId id, ServerNumber number) {
     // Its server went before it was handed over, and whoever is reached there does not know it.
     if (directory_.is_superseded(number)) return events_.session_ended(id, Ending::Dropped, {});
+    // Its server has told of its end already.
+    if (const auto how = released_.take(id, number, loop_.now())) return events_.session_ended(id, *how, {});
     Entry entry;
     if (const auto it = entries_.find(id); it != entries_.end()) entry = it->second;
     entry.attempt.id = id;
@@ -349,6 +355,7 @@
             link.connection.send(encode(word(ServerVerb::Finished, id)));
             // What a server says of a session's earlier stay there, before it was handed on, is old.
             const std::uint64_t epoch = whole(message.field("epoch"));
+            if (epoch == 0) remember_release(speaker, entry, message);
             if (entry != nullptr && (epoch == 0 || epoch >= entry->home_epoch)) finished(link, message);
             if (entry == nullptr && epoch > 0)
                 events_.ended_at(id, speaker, epoch, ending_of_session(message));
@@ -480,6 +487,11 @@
     events_.session_ended(id, ending_of_session(message), load);
 }
 
+void ServerLinks::remember_release(ServerNumber from, const Entry* entry, const ServerMessage& message) {
+    const bool ends_attempt = entry != nullptr && entry->state != State::Standing;
+    if (!ends_attempt) released_.add(message.session, from, ending_of_session(message), loop_.now());
+}
+
 void ServerLinks::note_repeated_answer(const Link& link, SessionId id) {
     if (!log_.wants(Level::Debug)) return;
     log_.debug("answer_repeated",
--- a/src/agent/server_links.h
+++ b/src/agent/server_links.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "agent/log.h"
+#include "agent/recent_releases.h"
 #include "agent/seam.h"
 #include "agent/server_connections.h"
 
@@ -82,6 +83,7 @@
     void server_silent(ServerNumber number) override;
     void pump(Link& link);
     void finished(Link& link, const codec::ServerMessage& message);
+    void remember_release(ServerNumber from, const Entry* entry, const codec::ServerMessage& message);
     void note_repeated_answer(const Link& link, SessionId id);
     void take_named(Link& link, const codec::ServerMessage& message);
     void attempt_over(SessionId id, cinderfront::Ending how, const cinderfront::LoadReport& load);
@@ -106,6 +108,7 @@
     std::unordered_map<SessionId, Entry> entries_;
     std::unordered_map<SessionId, Probe> probes_;
     SessionId next_probe_ = 1;
+    RecentReleases released_;        // sessions that stand here no more, or that nobody has handed over yet
     ServerConnections connections_;  // last: they may not call back before the rest is there
 };
 
--- a/tests/scenarios/crossing_test.cpp
+++ b/tests/scenarios/crossing_test.cpp
@@ -325,6 +325,45 @@
              "");
 }
 
+// Guards against a session that is held for good: its server's release was acknowledged and forgotten before
+// the set-up that hands it over was read.
+TEST_CASE("release read before the set-up that hands the session over: its viewer hears of the end") {
+    CHECK_EQ(play(R"(
+        agent send start
+        v1 send setup 4 at=s-00000001
+        s1 expect connection
+        v1 begin setup 7 at=s-00000001
+        s1 send FINISH 7 rc=16
+        s1 expect FINISHED 7
+        v1 complete
+        v1 within 1 expect release 7 cause=16
+        v1 send heard 7
+        s1 send FINISH 4 rc=16
+        v1 expect release 4 cause=16
+        v1 send heard 4
+        v1 send setup 4 at=s-00000001          # handed over once more, after its end
+        v1 within 1 expect release 4 cause=16
+    )"),
+             "");
+}
+
+// Guards against ending a session that plays elsewhere: the release is that of another server.
+TEST_CASE("release read before the set-up that hands the session over, of another server: it means nothing") {
+    CHECK_EQ(play(R"(
+        agent send start
+        v1 send setup 4 at=s-00000001
+        s1 expect connection
+        s1 send FINISH 7 rc=16
+        s1 expect FINISHED 7
+        v1 send setup 7 at=s-00000002
+        s2 expect connection
+        v1 expect nothing 0.3
+        s2 send FINISH 7 rc=16
+        v1 expect release 7 cause=16
+    )"),
+             "");
+}
+
 // Guards against a paid set-up that is refused while an attempt of it runs: a second copy of a server's
 // earlier answer was taken for the end of the later attempt there.
 TEST_CASE("second copy of an answer: it does not pass for the end of a later attempt at the same server") {
--- a/tests/unit/session_bounds_test.cpp
+++ b/tests/unit/session_bounds_test.cpp
@@ -1,10 +1,13 @@
-// The books on what is held and remembered: session bounds and recent ids.
+// The books on what is held and remembered: session bounds, recent ids and recent releases.
 #include <doctest/doctest.h>
 
 #include "agent/recent_ids.h"
+#include "agent/recent_releases.h"
 #include "agent/session_bounds.h"
 
+using cinderfront::Ending;
 using jasperspread::agent::RecentIds;
+using jasperspread::agent::RecentReleases;
 using jasperspread::agent::SessionBounds;
 
 TEST_CASE("sessions have room up to a part of the memory, and large ones take more of it") {
@@ -47,3 +50,20 @@
     ids.add(8, start + 200);
     CHECK_FALSE(ids.contains(8, start + 1000));
 }
+
+TEST_CASE("releases are remembered for a time, by their server, and the latest ones only") {
+    constexpr std::size_t most = 3;
+    RecentReleases releases(10, most);
+    releases.add(1, 7, Ending::Delivered, 100);
+    CHECK_FALSE(releases.take(1, 8, 101));
+    CHECK_EQ(releases.take(1, 7, 101), Ending::Delivered);
+    CHECK_FALSE(releases.take(1, 7, 101));
+    releases.add(2, 7, Ending::Dropped, 102);
+    releases.add(2, 7, Ending::Delivered, 108);  // once more
+    CHECK_EQ(releases.take(2, 7, 117), Ending::Delivered);
+    releases.add(3, 7, Ending::Dropped, 120);
+    CHECK_FALSE(releases.take(3, 7, 130.1));
+    for (std::uint64_t id = 11; id <= 14; ++id) releases.add(id, 7, Ending::Dropped, 140);
+    CHECK_FALSE(releases.take(11, 7, 140));
+    CHECK(releases.take(14, 7, 140));
+}
