Keep a connection on which a release may still be written slowly

Cause: a line that does not go on for 0.5 s closed its connection, a rule made for answers that stop short. A release cut off so is written anew on the next connection, as slowly, and cut off again.

Change: after 0.5 s the set-ups leave the connection: those that wait go elsewhere, those that are out have failed and are given up at the server. Where sessions stand at the server the connection stays for 4 s more, takes no set-up meanwhile, and is used again once the line is whole (server_line_stalls, debug). Where none stand it is closed as before. Why it works: answers and releases have each their own time.

--- a/src/agent/server_connection.cpp
+++ b/src/agent/server_connection.cpp
@@ -10,6 +10,8 @@
 
 // A line that is not whole goes on within so long, s: one that stops short is not an answer that is late.
 constexpr double line_goes_on_within_s = 0.5;
+// Where sessions stand, it may be a release that is written slowly: it is waited for so much longer, s.
+constexpr double release_goes_on_within_s = 4;
 
 }  // namespace
 
@@ -61,8 +63,7 @@
     }
     // Guards against a line that stops short: what comes after it on this connection can't be told from it.
     if (consumed < bytes.size()) {
-        line_timer_.set(all_.loop_.now() + line_goes_on_within_s,
-                        [this] { close_unreadable("a line stops short"); });
+        line_timer_.set(all_.loop_.now() + line_goes_on_within_s, [this] { line_stalled(); });
     }
     return consumed;
 }
@@ -86,6 +87,17 @@
     avoided = false;
 }
 
+// Guards against a release that is cut off again and again: what a server has not finished writing it writes
+// anew on the next connection, as slowly.
+void ServerConnections::Link::line_stalled() {
+    if (!all_.user_.has_sessions(server)) return close_unreadable("a line stops short");
+    all_.note("server_line_stalls", *this, "sessions stand there");
+    avoided = true;
+    line_timer_.set(all_.loop_.now() + release_goes_on_within_s,
+                    [this] { close_unreadable("a line stops short"); });
+    all_.user_.link_stalled(*this);
+}
+
 void ServerConnections::Link::close_unreadable(const std::string& why) {
     all_.log_.warn("server_unreadable", {{"server", std::to_string(server)},
                                          {"connection", std::to_string(number)},
--- a/src/agent/server_connections.h
+++ b/src/agent/server_connections.h
@@ -48,6 +48,8 @@
         virtual void received(Link& link, const codec::ServerMessage& message) = 0;
         // Its set-ups go elsewhere or are over; the object lives until the loop's next turn.
         virtual void link_ended(Link& link, net::Connection::End why, Process process) = 0;
+        // A line on it has begun and does not go on: its set-ups go elsewhere or are over, it stays open.
+        virtual void link_stalled(Link& link) = 0;
         virtual bool has_sessions(ServerNumber number) const = 0;  // a session, so that a connection is kept
         virtual double stands_since(ServerNumber number) const = 0;  // the oldest of these, s
         virtual bool waits_for_answer(const Link& link) const = 0;   // to a set-up written on it
@@ -202,6 +204,7 @@
 private:
     void take(const codec::ServerMessage& message);
     void note_message();
+    void line_stalled();
     void close_unreadable(const std::string& why);
 
     ServerConnections& all_;
--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -92,6 +92,23 @@
     }
 }
 
+// Its set-ups fare as though it had been closed, but for the server, which has to be told.
+void ServerLinks::link_stalled(Link& link) {
+    link.queue.clear();
+    for (const SessionId id : std::set<SessionId>(link.sessions)) {
+        const auto it = entries_.find(id);
+        if (it == entries_.end() || it->second.link != &link) continue;  // by the end of an earlier one
+        const Entry entry = it->second;
+        if (entry.state == State::Queued) {
+            erase(id);
+            set_up(entry.attempt);
+        } else if (entry.state == State::Written) {
+            connections_.release(link.server, nullptr, word(ServerVerb::Finish, id, cause_ok));
+            attempt_over(id, Ending::Dropped, {});
+        }
+    }
+}
+
 void ServerLinks::server_silent(ServerNumber number) {
     all_over(number, ServerConnections::Process::Silent);
 }
--- a/src/agent/server_links.h
+++ b/src/agent/server_links.h
@@ -76,6 +76,7 @@
     void link_writable(Link& link) override { pump(link); }
     void received(Link& link, const codec::ServerMessage& message) override;
     void link_ended(Link& link, net::Connection::End why, ServerConnections::Process process) override;
+    void link_stalled(Link& link) override;
     bool has_sessions(ServerNumber number) const override;
     double stands_since(ServerNumber number) const override;
     bool waits_for_answer(const Link& link) const override;
--- a/tests/scenarios/session_end_test.cpp
+++ b/tests/scenarios/session_end_test.cpp
@@ -96,6 +96,43 @@
     CHECK_EQ(told_though_each_new_connection("pieces=0.3 FINISH 5 rc=16", "told=0.3", "cause=16"), "");
 }
 
+// Guards against a release that is cut off on each connection, as the server pauses for longer than an answer
+// may.
+TEST_CASE("release written with long pauses: it is read all the same") {
+    CHECK_EQ(told_though_each_new_connection("pieces=0.7 FINISH 5 rc=16", "told=0.3", "cause=16"), "");
+}
+
+// Guards against set-ups that wait on a connection on which a line has stopped short.
+TEST_CASE("line that stops short where a session stands: set-ups there fail, and the session stays") {
+    CHECK_EQ(play(R"(
+        agent send start
+        stands 4
+        v1 send setup 5 class=paid wait=60000
+        s1 expect START 5
+        s1 send part={"verb":"STARTED","tag":"00
+        v1 within 1 expect release 5 cause=41
+        s1 expect FINISH 5 rc=16
+        s1 send text=00000000000005","opts":{},"blob":"late"}
+        s1 expect FINISH 5 rc=16               # what stands there now is ended
+        s1 send FINISH 4 rc=16
+        v1 expect release 4 cause=16
+        v1 send heard 4
+        v1 expect nothing 0.2
+    )"),
+             "");
+}
+
+// Guards against a connection that is kept for a line that never ends.
+TEST_CASE("line that never goes on where a session stands: its connection is closed") {
+    CHECK_EQ(play(R"(
+        agent send start
+        stands 4
+        s1 send part={"verb":"FINISH","tag":"00
+        agent within 7 expect log=short
+    )"),
+             "");
+}
+
 TEST_CASE("sessions handed in at a silent server again and again: they are no sign of life of it") {
     std::string lines = R"(
         agent send start told=0.3
