Tell a viewer once of a session that is handed over again after its end

Cause: the ends of sessions that stood here were remembered like those of sessions that nobody had handed over yet, though their viewers are told on the usual way.

Change: of a session that stood here, or whose late hand-over was answered, it is remembered that its viewer knows: one that is handed over again is neither held nor told of.

--- a/src/agent/recent_releases.cpp
+++ b/src/agent/recent_releases.cpp
@@ -8,13 +8,11 @@
     order_.push_back({id, now});
 }
 
-std::optional<cinderfront::Ending> RecentReleases::take(SessionId id, ServerNumber server, double now) {
+std::optional<cinderfront::Ending> RecentReleases::find(SessionId id, ServerNumber server, double now) {
     drop_old(now);
     const auto it = releases_.find(id);
     if (it == releases_.end() || it->second.server != server) return std::nullopt;
-    const cinderfront::Ending how = it->second.how;
-    releases_.erase(it);
-    return how;
+    return it->second.how;
 }
 
 void RecentReleases::drop_old(double now) {
--- a/src/agent/recent_releases.h
+++ b/src/agent/recent_releases.h
@@ -20,8 +20,8 @@
     RecentReleases(double kept_s, std::size_t most) : kept_s_(kept_s), most_(most) {}
 
     void add(SessionId id, ServerNumber server, cinderfront::Ending how, double now);
-    // How the session has ended at this server, if that was told; forgets it then.
-    std::optional<cinderfront::Ending> take(SessionId id, ServerNumber server, double now);
+    // How the session has ended at this server, if that was told.
+    std::optional<cinderfront::Ending> find(SessionId id, ServerNumber server, double now);
 
 private:
     struct Release {
--- a/src/agent/server_links.cpp
+++ b/src/agent/server_links.cpp
@@ -333,7 +333,10 @@
     // Its server went before it was handed over, and whoever is reached there does not know it.
     if (directory_.is_superseded(number)) return events_.session_ended(id, Ending::Dropped, {});
     // Its server has told of its end already.
-    if (const auto how = released_.take(id, number, loop_.now())) return events_.session_ended(id, *how, {});
+    if (const auto how = released_.find(id, number, loop_.now())) {
+        released_.add(id, number, Ending::Revoked, loop_.now());
+        return events_.session_ended(id, *how, {});
+    }
     Entry entry;
     if (const auto it = entries_.find(id); it != entries_.end()) entry = it->second;
     entry.attempt.id = id;
@@ -504,9 +507,11 @@
     events_.session_ended(id, ending_of_session(message), load);
 }
 
+// Revoked: its viewer is told already, and a set-up that hands the session over again is late.
 void ServerLinks::remember_release(ServerNumber from, const Entry* entry, const ServerMessage& message) {
-    const bool ends_attempt = entry != nullptr && entry->state != State::Standing;
-    if (!ends_attempt) released_.add(message.session, from, ending_of_session(message), loop_.now());
+    if (entry != nullptr && entry->state != State::Standing) return;  // the end of an attempt
+    const Ending how = entry != nullptr ? Ending::Revoked : ending_of_session(message);
+    released_.add(message.session, from, how, loop_.now());
 }
 
 void ServerLinks::note_repeated_answer(const Link& link, SessionId id) {
