--- a/src/agent/server_links.h
+++ b/src/agent/server_links.h
@@ -86,6 +86,7 @@
     void finished(Link& link, const codec::ServerMessage& message);
     void remember_release(ServerNumber from, const Entry* entry, const codec::ServerMessage& message);
     void note_repeated_answer(const Link& link, SessionId id);
+    void take_note(Entry& entry, const codec::ServerMessage& message);
     void take_named(Link& link, const codec::ServerMessage& message);
     void attempt_over(SessionId id, cinderfront::Ending how, const cinderfront::LoadReport& load);
     void all_over(ServerNumber number, ServerConnections::Process process);
