--- a/src/agent/recent_ids.h
+++ b/src/agent/recent_ids.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <unordered_set>
 
 namespace jasperspread::agent {
@@ -13,8 +14,10 @@
 public:
     using Id = std::uint64_t;
 
-    // `kept_s`: how long an id is remembered at least, and twice that at most; `most`: how many are.
-    RecentIds(double kept_s, std::size_t most) : kept_s_(kept_s), most_(most) {}
+    // `kept_s`: how long an id is remembered at least, and twice that at most; `most`: how many has_room()
+    // allows.
+    explicit RecentIds(double kept_s, std::size_t most = std::numeric_limits<std::size_t>::max())
+        : kept_s_(kept_s), most_(most) {}
 
     // False: as many are remembered as may be. Nothing is forgotten early for that; add() still takes it.
     bool has_room(double now);
--- a/src/agent/recent_releases.h
+++ b/src/agent/recent_releases.h
@@ -1,6 +1,5 @@
-// Releases of sessions that this agent does not hold, remembered for a time: a session may be handed over by
-// a set-up that is read only after its server has told of the end. Times are Unix times in seconds, passed
-// in.
+// How sessions have ended at their servers, remembered for a time: a set-up that hands a session over may be
+// read only after its server has told of the end. Times are Unix times in seconds, passed in.
 #pragma once
 
 #include <cinderfront/controller.h>
--- a/src/agent/server_connections.h
+++ b/src/agent/server_connections.h
@@ -5,7 +5,6 @@
 
 #include <cstdint>
 #include <deque>
-#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -185,7 +184,7 @@
     std::set<SessionId> sessions;  // set-ups and sessions that were set up here
     // Set-ups that an answer ended here. A second copy of it names the session alone, and would pass for the
     // end of a later attempt on this connection.
-    RecentIds answered{copy_comes_within_s, std::numeric_limits<std::size_t>::max()};
+    RecentIds answered{copy_comes_within_s};
     static constexpr double copy_comes_within_s = 5;
     double up_at = 0;         // since when it is open; 0: it never was
     bool has_spoken = false;  // a message came on it
--- a/src/agent/session_journal.cpp
+++ b/src/agent/session_journal.cpp
@@ -1,6 +1,5 @@
 #include "session_journal.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "codec/message.h"
@@ -52,10 +51,8 @@
 }
 
 bool SessionJournal::is_paid(const std::string& class_name) const {
-    const auto& names = profile_.class_names;
-    const auto it = std::find(names.begin(), names.end(), plain_name(class_name));
-    return it != names.end() &&
-           agent::is_paid(profile_.settings.classes[static_cast<std::size_t>(it - names.begin())]);
+    const auto index = find_name(profile_.class_names, plain_name(class_name));
+    return index && agent::is_paid(profile_.settings.classes[*index]);
 }
 
 store::SessionRecord SessionJournal::record_of(SessionId id, const Entry& entry, Phase phase) const {
--- a/src/agent/set_up_reader.cpp
+++ b/src/agent/set_up_reader.cpp
@@ -67,11 +67,10 @@
     return *message.hint_ms / 1000;
 }
 
-// The place of a name among those of the settings.
 std::uint32_t index_in(const std::vector<std::string>& names, const std::string& name, const char* what) {
-    const auto it = std::find(names.begin(), names.end(), plain_name(name));
-    if (it == names.end()) codec::malformed(std::string("a set-up names no ") + what + " of the settings");
-    return static_cast<std::uint32_t>(it - names.begin());
+    const auto index = find_name(names, plain_name(name));
+    if (!index) codec::malformed(std::string("a set-up names no ") + what + " of the settings");
+    return static_cast<std::uint32_t>(*index);
 }
 
 // Tenants mean nothing where the settings name none.
--- a/src/agent/settings.cpp
+++ b/src/agent/settings.cpp
@@ -201,10 +201,15 @@
     return nullptr;
 }
 
-std::size_t index_of(const std::vector<std::string>& names, std::string_view name, const char* what) {
+std::optional<std::size_t> find_name(const std::vector<std::string>& names, std::string_view name) {
     for (std::size_t i = 0; i < names.size(); ++i) {
         if (names[i] == name) return i;
     }
+    return std::nullopt;
+}
+
+std::size_t index_of(const std::vector<std::string>& names, std::string_view name, const char* what) {
+    if (const auto index = find_name(names, name)) return *index;
     bad(std::string(what) + " named in the settings", name);
 }
 
--- a/src/agent/settings.h
+++ b/src/agent/settings.h
@@ -69,6 +69,9 @@
 LoadField load_field(std::string_view name);
 
 Profile read_profile(PathValues values);
+// The place of a name among those of the settings; nullopt where it is not there.
+std::optional<std::size_t> find_name(const std::vector<std::string>& names, std::string_view name);
+// The same; throws SettingsError where it is not there.
 std::size_t index_of(const std::vector<std::string>& names, std::string_view name, const char* what);
 
 }  // namespace jasperspread::agent
--- a/tests/scenarios/codec_test.cpp
+++ b/tests/scenarios/codec_test.cpp
@@ -4,6 +4,7 @@
 
 #include "scenario.h"
 
+using scenario::hex_of;
 using scenario::play;
 
 TEST_CASE("a viewers' message is read from its bytes, unknown parameters are skipped") {
@@ -83,31 +84,23 @@
 }
 
 TEST_CASE("the feed's response is read with a body of any form") {
-    const auto hex = [](std::string_view text) {
-        std::string out;
-        for (const unsigned char c : text) {
-            out.push_back("0123456789abcdef"[c >> 4]);
-            out.push_back("0123456789abcdef"[c & 15]);
-        }
-        return out;
-    };
     CHECK_EQ(play("feed-codec send " +
-                  hex("HTTP/1.1 200 OK\r\nX: y\r\n\r\n: hi\n\nid: 4\r\ndata: a\r\ndata:b\r\n\r\n"
-                      "id: 5\ndata: c\r\rdata: d\n") +
+                  hex_of("HTTP/1.1 200 OK\r\nX: y\r\n\r\n: hi\n\nid: 4\r\ndata: a\r\ndata:b\r\n\r\n"
+                         "id: 5\ndata: c\r\rdata: d\n") +
                   "\nfeed-codec expect event id=4 data=hex:610a62"
                   "\nfeed-codec expect event id=5 data=c\nfeed-codec expect nothing"),
              "");
     CHECK_EQ(play("feed-codec send " +
-                  hex("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=y\r\ndata:\r\n"
-                      "4\r\n c\n\n\r\n0\r\n\r\n") +
+                  hex_of("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=y\r\ndata:\r\n"
+                         "4\r\n c\n\n\r\n0\r\n\r\n") +
                   "\nfeed-codec expect event data=c\nfeed-codec expect complete"),
              "");
-    CHECK_EQ(play("feed-codec send " + hex("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ndata: c\n\n") +
+    CHECK_EQ(play("feed-codec send " + hex_of("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ndata: c\n\n") +
                   "\nfeed-codec expect event data=c\nfeed-codec expect complete"),
              "");
-    CHECK_EQ(play("feed-codec send " + hex("HTTP/1.1 503 No\r\n") + "\nfeed-codec expect malformed"), "");
-    CHECK_EQ(play("feed-codec send " + hex("HTTP\n") + "\nfeed-codec expect malformed"), "");
-    CHECK_EQ(play("feed-codec send " + hex("HTTP/1.1 200 OK\r\nX: " + std::string(20000, 'y')) +
+    CHECK_EQ(play("feed-codec send " + hex_of("HTTP/1.1 503 No\r\n") + "\nfeed-codec expect malformed"), "");
+    CHECK_EQ(play("feed-codec send " + hex_of("HTTP\n") + "\nfeed-codec expect malformed"), "");
+    CHECK_EQ(play("feed-codec send " + hex_of("HTTP/1.1 200 OK\r\nX: " + std::string(20000, 'y')) +
                   "\nfeed-codec expect oversized"),
              "");
 }
--- a/tests/scenarios/crossing_test.cpp
+++ b/tests/scenarios/crossing_test.cpp
@@ -412,13 +412,14 @@
 
 // Guards against two attempts of a session at once: the same, where the first one never left or met an error.
 TEST_CASE("second copy of an answer: no further attempt begins while the one before is out") {
-    for (const std::string first : {"class=paid rc=102", "class=free rc=47"}) {
-        CAPTURE(first);
-        const std::string class_name = first.substr(0, first.find(' '));
-        const std::string cause = first.substr(first.find(' ') + 1);
-        CHECK_EQ(play("agent send start\nv1 send setup 5 wait=20000 home=0 copies=1 " + class_name +
-                      "\ns1 expect START 5\ns1 send FINISH 5 " + cause +
-                      "\ns1 expect START 5\ns1 oldest\ns1 send FINISH 5 " + cause + R"(
+    struct First {
+        std::string class_name, cause;
+    };
+    for (const First& first : {First{"paid", "102"}, First{"free", "47"}}) {
+        CAPTURE(first.cause);
+        CHECK_EQ(play("agent send start\nv1 send setup 5 wait=20000 home=0 copies=1 class=" +
+                      first.class_name + "\ns1 expect START 5\ns1 send FINISH 5 rc=" + first.cause +
+                      "\ns1 expect START 5\ns1 oldest\ns1 send FINISH 5 rc=" + first.cause + R"(
             s1 expect nothing 0.2
             v1 expect nothing 0.1
             s1 newest
--- a/tests/scenarios/scenario.cpp
+++ b/tests/scenarios/scenario.cpp
@@ -754,6 +754,15 @@
 
 }  // namespace
 
+std::string hex_of(std::string_view bytes) {
+    std::string hex;
+    for (const unsigned char byte : bytes) {
+        hex.push_back("0123456789abcdef"[byte >> 4]);
+        hex.push_back("0123456789abcdef"[byte & 15]);
+    }
+    return hex;
+}
+
 std::string play(std::string_view text) {
     Player player(text);
     std::istringstream lines{std::string(text)};
--- a/tests/scenarios/scenario.h
+++ b/tests/scenarios/scenario.h
@@ -44,4 +44,7 @@
 // Plays the lines and returns what went wrong, with its line; empty when all went as told.
 std::string play(std::string_view text);
 
+// Bytes as hex digits, for `raw=` and `hex:`.
+std::string hex_of(std::string_view bytes);
+
 }  // namespace scenario
--- a/tests/scenarios/unsound_test.cpp
+++ b/tests/scenarios/unsound_test.cpp
@@ -6,20 +6,11 @@
 
 #include "scenario.h"
 
+using scenario::hex_of;
 using scenario::play;
 
 namespace {
 
-// A line as the server writes it, for `s1 send raw=`.
-std::string hex_of(std::string_view bytes) {
-    std::string hex;
-    for (const unsigned char byte : bytes) {
-        hex.push_back("0123456789abcdef"[byte >> 4]);
-        hex.push_back("0123456789abcdef"[byte & 15]);
-    }
-    return hex;
-}
-
 // What goes wrong where a server answers a paid set-up with this line: it is to fail, as it may have run, and
 // the connection is no further use.
 std::string play_unsound_answer(std::string_view line) {
