Open another connection at once where a server's line stalls

Cause: since a connection on which a line stops short stays open for 4.5 s where sessions stand, and nothing else was opened meanwhile. A server that can't speak on that connection tells its ends on the next one.

Change: the first connection that stalls has another one opened beside it at once; further ones that stall meanwhile open none, so that a server that writes half lines alone is met at the pace of before.

Test: "line that stops short where a session stands: another connection comes at once" failed on ("no connection came" within 2 s) and passes now.

--- a/src/agent/server_connection.cpp
+++ b/src/agent/server_connection.cpp
@@ -84,18 +84,22 @@
     at.watch.forget_timeouts();
     heard = all_.loop_.now();
     has_spoken = true;
-    avoided = false;
+    avoided = stalled = false;
 }
 
 // Guards against a release that is cut off again and again: what a server has not finished writing it writes
-// anew on the next connection, as slowly.
+// anew on the next connection, as slowly. A line that never goes on may hide an end, which comes on the next
+// connection too: one is opened beside the first that stalls.
 void ServerConnections::Link::line_stalled() {
     if (!all_.user_.has_sessions(server)) return close_unreadable("a line stops short");
     all_.note("server_line_stalls", *this, "sessions stand there");
-    avoided = true;
+    Server& at = all_.server(server);
+    at.wants_new = at.wants_new || !has_stalled(at);
+    stalled = avoided = true;
     line_timer_.set(all_.loop_.now() + release_goes_on_within_s,
                     [this] { close_unreadable("a line stops short"); });
     all_.user_.link_stalled(*this);
+    all_.ensure_connection(server);
 }
 
 void ServerConnections::Link::close_unreadable(const std::string& why) {
--- a/src/agent/server_connections.cpp
+++ b/src/agent/server_connections.cpp
@@ -83,6 +83,10 @@
                        [&](const auto& link) { return link.get() != beside && is_sound(*link); });
 }
 
+bool ServerConnections::has_stalled(const Server& at) {
+    return std::any_of(at.links.begin(), at.links.end(), [](const auto& link) { return link->stalled; });
+}
+
 bool ServerConnections::needs_connection(ServerNumber number, const Server& at) const {
     return user_.has_sessions(number) || !at.pending.empty() || at.releases;
 }
--- a/src/agent/server_connections.h
+++ b/src/agent/server_connections.h
@@ -119,6 +119,7 @@
     bool close_replaced();
     static bool is_sound(const Link& link);
     static bool has_sound(const Server& at, const Link* beside = nullptr);
+    static bool has_stalled(const Server& at);
     static std::size_t staying(const Server& at);  // connections that are not being closed from here
     void note_heard(Server& at);
     bool lacks_connection(ServerNumber number, const Server& at) const;
@@ -194,7 +195,8 @@
     double used;                    // last traffic
     double heard;                   // last bytes from the server, or since when it is there
     bool came_up = false;
-    bool avoided = false;  // silent for too long: no set-up goes there
+    bool avoided = false;  // silent for too long, or stalled: no set-up goes there
+    bool stalled = false;  // a line on it has begun and does not go on
     bool closing = false;  // being closed from here
     bool brief = false;    // beside a sound one, for what the server could not send on that; soon closed
 
--- a/tests/scenarios/session_end_test.cpp
+++ b/tests/scenarios/session_end_test.cpp
@@ -122,6 +122,20 @@
              "");
 }
 
+// Guards against ends that wait behind a line that never goes on: its server tells them on the next
+// connection.
+TEST_CASE("line that stops short where a session stands: another connection comes at once") {
+    CHECK_EQ(play(R"(
+        agent send start
+        stands 4
+        s1 send part={"verb":"NOTICE","tag":
+        s1 expect connection 2
+        s1 send FINISH 4 rc=16
+        v1 expect release 4 cause=16
+    )"),
+             "");
+}
+
 // Guards against a connection that is kept for a line that never ends.
 TEST_CASE("line that never goes on where a session stands: its connection is closed") {
     CHECK_EQ(play(R"(
