Judge a late end by whether the agent that holds the session was reached

Cause: the laboratory's judge gave a viewer 1 s where no release could be sent to its agent, by two faults. Of two dead connections of one agent to a server, the first that closed ended the record of both, and the end of a cut link ended it too. And an end of a session whose own connection has closed is said to all agents, and counted as said when any of them was reached. The reverse held too: another agent's dead connection excused an end that could have been told.

Change: dead connections have a record of their own, which ends with the last of them; the agent that holds the session decides whether its end was sent, and only its own dead connections excuse that it was not. No bound changes: the 8 s from the end are judged as before, and where only another agent's connections are dead the judge is stricter.

--- a/lab/model/ledger.cpp
+++ b/lab/model/ledger.cpp
@@ -64,11 +64,12 @@
     const int agent = holder(id);
     if (stopped_.overlap(agent, troubles_from, now) || unreached_.overlap(agent, troubles_from, now))
         return false;
-    return server < 0 || (!servers_.overlap(server, troubles_from, now) &&
-                          !links_.overlap(link_number(agent, server), troubles_from, now));
+    if (server < 0) return true;
+    const int link = link_number(agent, server);
+    return !servers_.overlap(server, troubles_from, now) && !links_.overlap(link, troubles_from, now) &&
+           !dead_connections_.overlap(link, troubles_from, now);
 }
 
-// The agent that has it: the one that was asked, or to which its viewer has named it since.
 int Ledger::holder(SessionId id) const {
     const auto it = viewed_.find(id);
     return it == viewed_.end() || it->second.agent < 0 ? agent_of(id) : it->second.agent;
@@ -249,6 +250,11 @@
     links_.touch(link_number(agent, server), now);
 }
 
+void Ledger::connections_dead(int agent, int server, bool are, double now) {
+    const int link = link_number(agent, server);
+    are ? dead_connections_.begin(link, now) : dead_connections_.end(link, now);
+}
+
 // ---- Servers ----
 
 void Ledger::server_trouble(int server, bool begins, double now) {
--- a/lab/model/ledger.h
+++ b/lab/model/ledger.h
@@ -34,7 +34,8 @@
     void told_over(SessionId id, double now);             // a release after the answer
     // Its agent died and has returned, and its viewer names it to that: the server where it plays, or -1.
     int claims(SessionId id, int agent);
-    bool streams(SessionId id) const;                // at some server, now
+    bool streams(SessionId id) const;  // at some server, now
+    int holder(SessionId id) const;    // the agent that was asked, or to which its viewer has named it since
     void connection_lost(SessionId id, double now);  // with its set-up open
     void crossed_close(SessionId id, double now);  // sent as its agent closed: it is sent again, as a new one
 
@@ -55,6 +56,8 @@
     void laboratory_stalled(double from, double to);
     void link_cut(int agent, int server, bool is, double now);
     void link_reset(int agent, int server, double now);
+    // On some of this agent's connections to the server nothing passes from now on, or on none any more.
+    void connections_dead(int agent, int server, bool are, double now);
 
     // ---- Servers ----
     void set_up_came(SessionId id, int server, double now);
@@ -126,7 +129,6 @@
     void note(SessionId id, const char* what, int server, double now) const;
     double worth(int cls, int rung) const;
     Viewed* find(SessionId id);
-    int holder(SessionId id) const;
     void work_came(int server, int agent, double now);
     static double chance_over(double mean);
     // Set-ups whose connection was lost: a death of their process may be noticed a little later.
@@ -151,7 +153,7 @@
     };
     std::map<int, std::deque<Work>> work_;  // that came to cold servers
     std::map<int, double> start_told_at_;
-    Troubles servers_, stopped_, unreached_, links_, stalls_, feeds_;
+    Troubles servers_, stopped_, unreached_, links_, dead_connections_, stalls_, feeds_;
     struct Death {
         double at = 0, excuses_until = 0;
     };
--- a/lab/model/server.cpp
+++ b/lab/model/server.cpp
@@ -120,6 +120,8 @@
 
 void LessonServer::die() {
     ledger_.server_trouble(number_, true, loop_.now());
+    for (const std::uint64_t number : dead_)
+        ledger_.connections_dead(agent_number(number), number_, false, loop_.now());
     frozen_ = true;
     for (const auto& [from, message] : waiting_) ledger_.attempt_over(message.session, number_, loop_.now());
     for (auto& [id, held] : sessions_) {
@@ -136,7 +138,9 @@
 // ---- Connections ----
 
 void LessonServer::left(std::uint64_t number, Connection::End) {
-    if (dead_.erase(number) > 0) ledger_.link_cut(agent_number(number), number_, false, loop_.now());
+    const int agent = agent_number(number);
+    const bool was_dead = dead_.erase(number) > 0;
+    if (was_dead && !has_dead_connection(agent)) ledger_.connections_dead(agent, number_, false, loop_.now());
     agent_of_.erase(number);
     std::vector<SessionId> given_up;
     for (auto& [id, held] : sessions_) {
@@ -391,7 +395,7 @@
         Message message = word(ServerVerb::Finish, id);
         message.cause = cause;
         if (held.side.fence() > 0) message.fields["epoch"] = std::to_string(held.side.fence());
-        const bool is_troubled = holds_releases_ || !dead_.empty();
+        const bool is_troubled = holds_releases_ || has_dead_connection(ledger_.holder(id));
         const bool is_sent = say(held, message);
         ledger_.server_over(id, number_, loop_.now(), is_sent || !is_troubled);
     }
--- a/lab/model/server.h
+++ b/lab/model/server.h
@@ -78,11 +78,13 @@
     void media_over(SessionId id);
     void erase(SessionId id);
     void end(SessionId id, int cause, bool tell);
-    bool say(const Held& held, const Message& message);  // false: it could not be sent on any connection
+    bool say(const Held& held, const Message& message);  // false: not sent to the agent that holds it
     void garble();
     int agent_number(std::uint64_t connection) const;
     bool is_dead(std::uint64_t connection) const { return dead_.contains(connection); }
-    bool say_to_all(const std::string& text);
+    void deaden(std::uint64_t number);
+    bool has_dead_connection(int agent) const;
+    bool say_to_all(SessionId id, const std::string& text);  // false: not to the agent that holds it
     void say_on(std::uint64_t number, const Message& message);
     void notes();
     double rate_of(const Held& held, int rung) const;
--- a/lab/model/server_connections.cpp
+++ b/lab/model/server_connections.cpp
@@ -40,11 +40,20 @@
 
 void LessonServer::deaden_connections(int agent) {
     for (const auto& [number, its_agent] : agent_of_) {
-        if (its_agent != static_cast<std::uint64_t>(agent) + 1 || !dead_.insert(number).second) continue;
-        ledger_.link_cut(agent, number_, true, loop_.now());
+        if (its_agent == static_cast<std::uint64_t>(agent) + 1) deaden(number);
     }
 }
 
+void LessonServer::deaden(std::uint64_t number) {
+    if (dead_.insert(number).second)
+        ledger_.connections_dead(agent_number(number), number_, true, loop_.now());
+}
+
+bool LessonServer::has_dead_connection(int agent) const {
+    return std::any_of(dead_.begin(), dead_.end(),
+                       [&](std::uint64_t number) { return agent_number(number) == agent; });
+}
+
 // A line in eight on each connection, and one in three of these stops short: nothing follows on that one.
 void LessonServer::garble() {
     constexpr std::uint64_t one_in = 8, ways = 3;
@@ -62,8 +71,7 @@
         if (way == 1) to->send(std::string(over_limit, 'x') + "\n");
         if (way != 2) continue;
         to->send(R"({"verb":"NOTICE","tag":)");
-        dead_.insert(number);
-        ledger_.link_cut(agent_number(number), number_, true, loop_.now());
+        deaden(number);
     }
 }
 
@@ -74,7 +82,8 @@
 
 // On the connection of its set-up, or any open one of its agent; a release on the next one too.
 bool LessonServer::say(const Held& held, const Message& message) {
-    if (held.orphan && message.verb == ServerVerb::Finish) return say_to_all(encode(message));
+    if (held.orphan && message.verb == ServerVerb::Finish)
+        return say_to_all(message.session, encode(message));
     if (message.verb == ServerVerb::Finish) {
         auto& owed = owed_[held.agent];
         owed.emplace_back(loop_.now(), encode(message));
@@ -93,7 +102,7 @@
 }
 
 // Whoever has taken the session over since hears of its end, now and on its next connection.
-bool LessonServer::say_to_all(const std::string& text) {
+bool LessonServer::say_to_all(SessionId id, const std::string& text) {
     std::set<std::uint64_t> sent;
     for (const auto& [number, agent] : agent_of_) {
         Connection* other = is_dead(number) || holds_releases_ ? nullptr : connection(number);
@@ -101,7 +110,7 @@
     }
     owed_all_.push_back({loop_.now(), text, {}});
     while (owed_all_.front().at < loop_.now() - owed_for_s) owed_all_.pop_front();
-    return !sent.empty();
+    return sent.contains(static_cast<std::uint64_t>(ledger_.holder(id)) + 1);
 }
 
 }  // namespace lab
